Add the build, the schema with its generator, and the configuration library

Cause: nothing existed. Change: Maven modules with formatter and linter, a schema of messages and settings whose generated sources are committed, and the operators' library with two examples.

--- /dev/null
+++ b/configuration/src/main/java/io/masticlane/configuration/ConfigurationException.java
@@ -0,0 +1,29 @@
+package io.masticlane.configuration;
+
+/**
+ * Tells that a field of a configuration has a value that is not acceptable.
+ */
+public class ConfigurationException extends RuntimeException {
+
+	private final String field;
+
+	/**
+	 * Creates a new exception.
+	 * @param field the path of the field
+	 * @param value the value that was given
+	 * @param expected what was expected instead
+	 */
+	public ConfigurationException(String field, Object value, String expected) {
+		super(field + ": got '" + value + "', expected " + expected);
+		this.field = field;
+	}
+
+	/**
+	 * Returns the path of the field.
+	 * @return the path of the field
+	 */
+	public String field() {
+		return this.field;
+	}
+
+}
--- /dev/null
+++ b/configuration/src/main/java/io/masticlane/configuration/Service.java
@@ -0,0 +1,36 @@
+package io.masticlane.configuration;
+
+import java.util.List;
+
+/**
+ * A service that backend servers run.
+ *
+ * @param name the name of the service
+ * @param routes the routes of the service, the first that matches a request is taken
+ */
+public record Service(String name, List<Route> routes) {
+
+	/**
+	 * Creates a new service.
+	 * @param name the name of the service
+	 * @param routes the routes of the service, the first that matches a request is taken
+	 */
+	public Service {
+		Check.name("services.name", name);
+		routes = Check.list(routes);
+		if (routes.isEmpty()) {
+			throw new ConfigurationException("services.routes", name, "at least one route");
+		}
+	}
+
+	/**
+	 * Creates a new service.
+	 * @param name the name of the service
+	 * @param routes the routes of the service
+	 * @return the service
+	 */
+	public static Service of(String name, Route... routes) {
+		return new Service(name, List.of(routes));
+	}
+
+}
--- /dev/null
+++ b/configuration/src/main/java/io/masticlane/configuration/example/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Example configurations at the sizes of today's deployments.
+ */
+package io.masticlane.configuration.example;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -0,0 +1,385 @@
+package io.masticlane.message;
+
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * A message between entry hosts, generated from the schema.
+ */
+public sealed interface Message {
+
+	/**
+	 * The version of the peer protocol that this schema describes.
+	 */
+	int PROTOCOL_VERSION = 1;
+
+	/**
+	 * Writes this message as a MessagePack array of its tag and fields.
+	 * @param packer the packer to write to
+	 * @throws IOException if the packer fails
+	 */
+	void encode(MessagePacker packer) throws IOException;
+
+	/**
+	 * Reads a message; fields that a later schema appended are skipped.
+	 * @param unpacker the unpacker to read from
+	 * @return the message
+	 * @throws IOException if the bytes hold no known message
+	 */
+	static Message decode(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackArrayHeader();
+		int tag = unpacker.unpackInt();
+		Message decoded;
+		switch (tag) {
+			case 1:
+				MessageFrame.checkSize(tag, size, 4);
+				decoded = Greeting.decodeFields(unpacker);
+				unpacker.skipValue(size - 4);
+				break;
+			case 2:
+				MessageFrame.checkSize(tag, size, 7);
+				decoded = Heartbeat.decodeFields(unpacker);
+				unpacker.skipValue(size - 7);
+				break;
+			case 3:
+				MessageFrame.checkSize(tag, size, 2);
+				decoded = ConfigurationQuery.decodeFields(unpacker);
+				unpacker.skipValue(size - 2);
+				break;
+			case 4:
+				MessageFrame.checkSize(tag, size, 3);
+				decoded = ConfigurationPush.decodeFields(unpacker);
+				unpacker.skipValue(size - 3);
+				break;
+			case 5:
+				MessageFrame.checkSize(tag, size, 7);
+				decoded = LoanRequest.decodeFields(unpacker);
+				unpacker.skipValue(size - 7);
+				break;
+			case 6:
+				MessageFrame.checkSize(tag, size, 7);
+				decoded = LoanGrant.decodeFields(unpacker);
+				unpacker.skipValue(size - 7);
+				break;
+			case 7:
+				MessageFrame.checkSize(tag, size, 4);
+				decoded = OperationClaim.decodeFields(unpacker);
+				unpacker.skipValue(size - 4);
+				break;
+			case 8:
+				MessageFrame.checkSize(tag, size, 3);
+				decoded = OperationVerdict.decodeFields(unpacker);
+				unpacker.skipValue(size - 3);
+				break;
+			case 9:
+				MessageFrame.checkSize(tag, size, 4);
+				decoded = OperationRelease.decodeFields(unpacker);
+				unpacker.skipValue(size - 4);
+				break;
+			case 10:
+				MessageFrame.checkSize(tag, size, 3);
+				decoded = LeaseRelay.decodeFields(unpacker);
+				unpacker.skipValue(size - 3);
+				break;
+			case 11:
+				MessageFrame.checkSize(tag, size, 3);
+				decoded = LeaseRelayed.decodeFields(unpacker);
+				unpacker.skipValue(size - 3);
+				break;
+			default:
+				throw new IOException("unknown message tag " + tag);
+		}
+		return decoded;
+	}
+
+	/**
+	 * The first message on every peer connection, sent by both ends.
+	 *
+	 * @param protocolVersion the version of the peer protocol that the sender speaks
+	 * @param host the configured name of the sending entry host
+	 * @param incarnation the identifier of the sending process, new at every start
+	 */
+	record Greeting(int protocolVersion, String host, String incarnation) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(4);
+			packer.packInt(1);
+			packer.packInt(this.protocolVersion);
+			packer.packString(this.host);
+			packer.packString(this.incarnation);
+		}
+
+		private static Greeting decodeFields(MessageUnpacker unpacker) throws IOException {
+			int protocolVersion = unpacker.unpackInt();
+			String host = unpacker.unpackString();
+			String incarnation = unpacker.unpackString();
+			return new Greeting(protocolVersion, host, incarnation);
+		}
+	}
+
+	/**
+	 * A periodic sign of life that carries a digest of the sender's state.
+	 *
+	 * @param sequence the number of this heartbeat on the connection
+	 * @param echo the sequence of the last heartbeat heard from the receiver, or zero
+	 * @param revision the configuration revision in force at the sender, or zero
+	 * @param storeAgeMillis the milliseconds since the sender or a peer of it heard the
+	 * store
+	 * @param leaving whether the sender is shutting down
+	 * @param load the requests in flight at the sender
+	 */
+	record Heartbeat(long sequence, long echo, long revision, long storeAgeMillis, boolean leaving,
+			double load) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(7);
+			packer.packInt(2);
+			packer.packLong(this.sequence);
+			packer.packLong(this.echo);
+			packer.packLong(this.revision);
+			packer.packLong(this.storeAgeMillis);
+			packer.packBoolean(this.leaving);
+			packer.packDouble(this.load);
+		}
+
+		private static Heartbeat decodeFields(MessageUnpacker unpacker) throws IOException {
+			long sequence = unpacker.unpackLong();
+			long echo = unpacker.unpackLong();
+			long revision = unpacker.unpackLong();
+			long storeAgeMillis = unpacker.unpackLong();
+			boolean leaving = unpacker.unpackBoolean();
+			double load = unpacker.unpackDouble();
+			return new Heartbeat(sequence, echo, revision, storeAgeMillis, leaving, load);
+		}
+	}
+
+	/**
+	 * Asks the receiver for the configuration that it has in force.
+	 *
+	 * @param revision the revision that the sender already has, or zero
+	 */
+	record ConfigurationQuery(long revision) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(2);
+			packer.packInt(3);
+			packer.packLong(this.revision);
+		}
+
+		private static ConfigurationQuery decodeFields(MessageUnpacker unpacker) throws IOException {
+			long revision = unpacker.unpackLong();
+			return new ConfigurationQuery(revision);
+		}
+	}
+
+	/**
+	 * Carries a whole configuration document.
+	 *
+	 * @param revision the revision of the document in the store
+	 * @param document the printed document in UTF-8
+	 */
+	record ConfigurationPush(long revision, byte[] document) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(3);
+			packer.packInt(4);
+			packer.packLong(this.revision);
+			packer.packBinaryHeader(this.document.length);
+			packer.writePayload(this.document);
+		}
+
+		private static ConfigurationPush decodeFields(MessageUnpacker unpacker) throws IOException {
+			long revision = unpacker.unpackLong();
+			byte[] document = MessageFrame.readBytes(unpacker);
+			return new ConfigurationPush(revision, document);
+		}
+	}
+
+	/**
+	 * Asks the receiver to lend part of its share of a limit.
+	 *
+	 * @param loan the identifier of the loan, unique within the sender's incarnation
+	 * @param limit the identifier of the limit
+	 * @param revision the configuration revision by which the shares were divided
+	 * @param rate the wanted rate in units per second
+	 * @param burst the wanted burst in units
+	 * @param termMillis the term of the loan in milliseconds
+	 */
+	record LoanRequest(long loan, String limit, long revision, double rate, double burst,
+			long termMillis) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(7);
+			packer.packInt(5);
+			packer.packLong(this.loan);
+			packer.packString(this.limit);
+			packer.packLong(this.revision);
+			packer.packDouble(this.rate);
+			packer.packDouble(this.burst);
+			packer.packLong(this.termMillis);
+		}
+
+		private static LoanRequest decodeFields(MessageUnpacker unpacker) throws IOException {
+			long loan = unpacker.unpackLong();
+			String limit = unpacker.unpackString();
+			long revision = unpacker.unpackLong();
+			double rate = unpacker.unpackDouble();
+			double burst = unpacker.unpackDouble();
+			long termMillis = unpacker.unpackLong();
+			return new LoanRequest(loan, limit, revision, rate, burst, termMillis);
+		}
+	}
+
+	/**
+	 * Answers a loan request; zeroes refuse it.
+	 *
+	 * @param loan the identifier of the loan
+	 * @param limit the identifier of the limit
+	 * @param revision the configuration revision by which the shares were divided
+	 * @param rate the lent rate in units per second
+	 * @param burst the lent burst in units
+	 * @param tokens the tokens handed over at once, at most the lent burst
+	 */
+	record LoanGrant(long loan, String limit, long revision, double rate, double burst,
+			double tokens) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(7);
+			packer.packInt(6);
+			packer.packLong(this.loan);
+			packer.packString(this.limit);
+			packer.packLong(this.revision);
+			packer.packDouble(this.rate);
+			packer.packDouble(this.burst);
+			packer.packDouble(this.tokens);
+		}
+
+		private static LoanGrant decodeFields(MessageUnpacker unpacker) throws IOException {
+			long loan = unpacker.unpackLong();
+			String limit = unpacker.unpackString();
+			long revision = unpacker.unpackLong();
+			double rate = unpacker.unpackDouble();
+			double burst = unpacker.unpackDouble();
+			double tokens = unpacker.unpackDouble();
+			return new LoanGrant(loan, limit, revision, rate, burst, tokens);
+		}
+	}
+
+	/**
+	 * Asks the owner of an operation for the right to run it.
+	 *
+	 * @param claim the identifier of the claim, unique within the sender's incarnation
+	 * @param organisation the organisation whose key came with the request
+	 * @param operation the idempotency key of the request
+	 */
+	record OperationClaim(long claim, String organisation, String operation) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(4);
+			packer.packInt(7);
+			packer.packLong(this.claim);
+			packer.packString(this.organisation);
+			packer.packString(this.operation);
+		}
+
+		private static OperationClaim decodeFields(MessageUnpacker unpacker) throws IOException {
+			long claim = unpacker.unpackLong();
+			String organisation = unpacker.unpackString();
+			String operation = unpacker.unpackString();
+			return new OperationClaim(claim, organisation, operation);
+		}
+	}
+
+	/**
+	 * Answers an operation claim.
+	 *
+	 * @param claim the identifier of the claim
+	 * @param verdict the name of the verdict
+	 */
+	record OperationVerdict(long claim, String verdict) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(3);
+			packer.packInt(8);
+			packer.packLong(this.claim);
+			packer.packString(this.verdict);
+		}
+
+		private static OperationVerdict decodeFields(MessageUnpacker unpacker) throws IOException {
+			long claim = unpacker.unpackLong();
+			String verdict = unpacker.unpackString();
+			return new OperationVerdict(claim, verdict);
+		}
+	}
+
+	/**
+	 * Tells the owner that a granted operation was certainly not run.
+	 *
+	 * @param claim the identifier of the granted claim
+	 * @param organisation the organisation whose key came with the request
+	 * @param operation the idempotency key of the request
+	 */
+	record OperationRelease(long claim, String organisation, String operation) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(4);
+			packer.packInt(9);
+			packer.packLong(this.claim);
+			packer.packString(this.organisation);
+			packer.packString(this.operation);
+		}
+
+		private static OperationRelease decodeFields(MessageUnpacker unpacker) throws IOException {
+			long claim = unpacker.unpackLong();
+			String organisation = unpacker.unpackString();
+			String operation = unpacker.unpackString();
+			return new OperationRelease(claim, organisation, operation);
+		}
+	}
+
+	/**
+	 * Asks the receiver to renew the sender's lease at the store.
+	 *
+	 * @param relay the identifier of this relay request
+	 * @param lease the identifier of the lease at the store
+	 */
+	record LeaseRelay(long relay, long lease) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(3);
+			packer.packInt(10);
+			packer.packLong(this.relay);
+			packer.packLong(this.lease);
+		}
+
+		private static LeaseRelay decodeFields(MessageUnpacker unpacker) throws IOException {
+			long relay = unpacker.unpackLong();
+			long lease = unpacker.unpackLong();
+			return new LeaseRelay(relay, lease);
+		}
+	}
+
+	/**
+	 * Tells that the store renewed the lease.
+	 *
+	 * @param relay the identifier of the relay request
+	 * @param renewed whether the store renewed the lease
+	 */
+	record LeaseRelayed(long relay, boolean renewed) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(3);
+			packer.packInt(11);
+			packer.packLong(this.relay);
+			packer.packBoolean(this.renewed);
+		}
+
+		private static LeaseRelayed decodeFields(MessageUnpacker unpacker) throws IOException {
+			long relay = unpacker.unpackLong();
+			boolean renewed = unpacker.unpackBoolean();
+			return new LeaseRelayed(relay, renewed);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/message/MessageFrame.java
@@ -0,0 +1,72 @@
+package io.masticlane.message;
+
+import java.io.IOException;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Converts messages to and from the payload of a length-prefixed frame.
+ */
+public final class MessageFrame {
+
+	/**
+	 * The largest payload of a frame in bytes: a configuration document and its envelope.
+	 */
+	public static final int MAXIMUM_BYTES = 1024 * 1024 + 4096;
+
+	/**
+	 * The bytes of the length prefix.
+	 */
+	public static final int LENGTH_BYTES = 4;
+
+	private MessageFrame() {
+	}
+
+	/**
+	 * Encodes a message without its length prefix.
+	 * @param message the message to encode
+	 * @return the payload of its frame
+	 */
+	public static byte[] encode(Message message) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			message.encode(packer);
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a buffer packer does no input or output", ex);
+		}
+	}
+
+	/**
+	 * Decodes the payload of a frame.
+	 * @param payload the payload without its length prefix
+	 * @return the message
+	 * @throws IOException if the payload holds no known message
+	 */
+	public static Message decode(byte[] payload) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+			return Message.decode(unpacker);
+		}
+		catch (MessagePackException ex) {
+			throw new IOException("malformed MessagePack: " + ex.getMessage(), ex);
+		}
+	}
+
+	static void checkSize(int tag, int size, int expected) throws IOException {
+		if (size < expected) {
+			throw new IOException("message " + tag + " has " + size + " elements, expected at least " + expected);
+		}
+	}
+
+	static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
+		int length = unpacker.unpackBinaryHeader();
+		if (length > MAXIMUM_BYTES) {
+			throw new IOException("binary field of " + length + " bytes, expected at most " + MAXIMUM_BYTES);
+		}
+		return unpacker.readPayload(length);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/message/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The messages between entry hosts and their framing.
+ */
+package io.masticlane.message;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/setting/EntrySettings.java
@@ -0,0 +1,74 @@
+package io.masticlane.setting;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * The settings of the entry daemon.
+ *
+ * @param host The configured name of this entry host.
+ * @param dataCentre The data centre in which this entry host stands.
+ * @param callerAddress The address for callers.
+ * @param peerAddress The address for other entry hosts.
+ * @param operatorAddress The address for operators: metrics, health and status.
+ * @param storeAddress The address of the platform's key-value store.
+ * @param storePrefix The prefix of every key in the store.
+ * @param peers The peer addresses to ask for a configuration at start, separated by
+ * commas.
+ * @param storeTimeoutMillis The time after which a call to the store has failed.
+ * @param heartbeatMillis The interval between heartbeats to a peer.
+ * @param silenceMillis The silence after which a connection counts as lost.
+ * @param drainMillis The longest time that a planned stop waits for requests in flight.
+ * @param lookUpTtlMillis The time to live of a look-up's answer.
+ * @param maximumBodyBytes The largest request body that is carried.
+ */
+public record EntrySettings(String host, String dataCentre, InetSocketAddress callerAddress,
+		InetSocketAddress peerAddress, InetSocketAddress operatorAddress, InetSocketAddress storeAddress,
+		String storePrefix, List<InetSocketAddress> peers, int storeTimeoutMillis, int heartbeatMillis,
+		int silenceMillis, int drainMillis, int lookUpTtlMillis, int maximumBodyBytes) {
+
+	/**
+	 * The descriptors of every setting of this group.
+	 */
+	public static final List<Setting> DESCRIPTORS = List.of(
+			new Setting("host", "MASTICLANE_HOST", "string", null, 0L, 0L, "The configured name of this entry host."),
+			new Setting("data-centre", "MASTICLANE_DATA_CENTRE", "string", null, 0L, 0L,
+					"The data centre in which this entry host stands."),
+			new Setting("caller-address", "MASTICLANE_CALLER_ADDRESS", "address", null, 0L, 0L,
+					"The address for callers."),
+			new Setting("peer-address", "MASTICLANE_PEER_ADDRESS", "address", null, 0L, 0L,
+					"The address for other entry hosts."),
+			new Setting("operator-address", "MASTICLANE_OPERATOR_ADDRESS", "address", null, 0L, 0L,
+					"The address for operators: metrics, health and status."),
+			new Setting("store-address", "MASTICLANE_STORE_ADDRESS", "address", null, 0L, 0L,
+					"The address of the platform's key-value store."),
+			new Setting("store-prefix", "MASTICLANE_STORE_PREFIX", "string", "masticlane/", 0L, 0L,
+					"The prefix of every key in the store."),
+			new Setting("peers", "MASTICLANE_PEERS", "addresses", "", 0L, 0L,
+					"The peer addresses to ask for a configuration at start, separated by commas."),
+			new Setting("store-timeout-millis", "MASTICLANE_STORE_TIMEOUT_MILLIS", "integer", "1000", 50L, 60000L,
+					"The time after which a call to the store has failed."),
+			new Setting("heartbeat-millis", "MASTICLANE_HEARTBEAT_MILLIS", "integer", "500", 50L, 10000L,
+					"The interval between heartbeats to a peer."),
+			new Setting("silence-millis", "MASTICLANE_SILENCE_MILLIS", "integer", "2500", 200L, 60000L,
+					"The silence after which a connection counts as lost."),
+			new Setting("drain-millis", "MASTICLANE_DRAIN_MILLIS", "integer", "15000", 0L, 600000L,
+					"The longest time that a planned stop waits for requests in flight."),
+			new Setting("look-up-ttl-millis", "MASTICLANE_LOOK_UP_TTL_MILLIS", "integer", "5000", 100L, 600000L,
+					"The time to live of a look-up's answer."),
+			new Setting("maximum-body-bytes", "MASTICLANE_MAXIMUM_BODY_BYTES", "integer", "1048576", 1024L, 16777216L,
+					"The largest request body that is carried."));
+
+	/**
+	 * Creates the settings from a source.
+	 * @param source the source of values
+	 * @return the checked settings
+	 */
+	public static EntrySettings from(SettingSource source) {
+		return new EntrySettings(source.string("host"), source.string("data-centre"), source.address("caller-address"),
+				source.address("peer-address"), source.address("operator-address"), source.address("store-address"),
+				source.string("store-prefix"), source.addresses("peers"), source.integer("store-timeout-millis"),
+				source.integer("heartbeat-millis"), source.integer("silence-millis"), source.integer("drain-millis"),
+				source.integer("look-up-ttl-millis"), source.integer("maximum-body-bytes"));
+	}
+}
--- /dev/null
+++ b/schema/src/main/java/io/masticlane/schema/Generator.java
@@ -0,0 +1,39 @@
+package io.masticlane.schema;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * The command that writes every generated source and the settings' page.
+ */
+public final class Generator {
+
+	private Generator() {
+	}
+
+	/**
+	 * Generates all sources into a checkout.
+	 * @param arguments the root folder of the checkout
+	 * @throws IOException if the schema cannot be read or a file cannot be written
+	 */
+	public static void main(String[] arguments) throws IOException {
+		Path root = Path.of((arguments.length > 0) ? arguments[0] : ".");
+		Path sources = root.resolve("masticlane/src/main/java");
+		MessageGenerator.generate(read("/messages.json"), sources);
+		JsonNode settings = read("/settings.json");
+		SettingsGenerator.generate(settings, sources);
+		Files.writeString(root.resolve("docs/SETTINGS.md"), SettingsPage.render(settings));
+	}
+
+	private static JsonNode read(String resource) throws IOException {
+		try (InputStream stream = Generator.class.getResourceAsStream(resource)) {
+			return new ObjectMapper().readTree(stream);
+		}
+	}
+
+}
