Carry a request from caller to backend server, thin, with the operators' first commands

Cause: no path existed. Change: the entry daemon (callers, decisions, peers, platform and operators as separate duties), the etcd adapter, apply, plan, show and demo, with stand-ins for store and backend servers. Thin on purpose: equal static shares, one store claim per operation, least-loaded choice.

--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/AnswerReceiver.java
@@ -0,0 +1,37 @@
+package io.masticlane.backend;
+
+import io.masticlane.steering.AttemptEnd;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Receives the answer to one attempt, on the event loop of the request.
+ */
+public interface AnswerReceiver {
+
+	/**
+	 * Receives the connection on which the request was sent.
+	 * @param connection the connection
+	 */
+	void sent(Channel connection);
+
+	/**
+	 * Receives the head of the answer.
+	 * @param head the head of the answer
+	 */
+	void head(HttpResponse head);
+
+	/**
+	 * Receives a part of the answer's body; the receiver releases it.
+	 * @param content the part of the body, the last one included
+	 */
+	void content(HttpContent content);
+
+	/**
+	 * Receives the end of an attempt whose answer did not arrive whole.
+	 * @param end how the attempt ended
+	 */
+	void failed(AttemptEnd end);
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -0,0 +1,96 @@
+package io.masticlane.backend;
+
+import java.util.function.Consumer;
+
+import io.masticlane.steering.AttemptEnd;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Hands the answers on one connection to the receiver of the request under way.
+ */
+final class BackendHandler extends ChannelInboundHandlerAdapter {
+
+	private final Consumer<Channel> recycle;
+
+	private AnswerReceiver receiver;
+
+	private boolean reusable;
+
+	private boolean informational;
+
+	BackendHandler(Consumer<Channel> recycle) {
+		this.recycle = recycle;
+	}
+
+	void begin(AnswerReceiver receiver) {
+		this.receiver = receiver;
+		this.reusable = false;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.receiver == null || ((HttpObject) message).decoderResult().isFailure()) {
+			ReferenceCountUtil.release(message);
+			context.close();
+			return;
+		}
+		if (message instanceof HttpResponse head) {
+			this.informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			if (!this.informational) {
+				this.reusable = HttpUtil.isKeepAlive(head);
+				this.receiver.head(head);
+			}
+		}
+		if (message instanceof HttpContent content) {
+			readContent(context, content);
+		}
+	}
+
+	private void readContent(ChannelHandlerContext context, HttpContent content) {
+		if (this.informational) {
+			content.release();
+			return;
+		}
+		AnswerReceiver current = this.receiver;
+		if (content instanceof LastHttpContent) {
+			this.receiver = null;
+			context.channel().config().setAutoRead(true);
+			if (this.reusable) {
+				this.recycle.accept(context.channel());
+			}
+			else {
+				context.close();
+			}
+		}
+		current.content(content);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+		fail();
+	}
+
+	private void fail() {
+		AnswerReceiver current = this.receiver;
+		this.receiver = null;
+		if (current != null) {
+			current.failed(AttemptEnd.LOST);
+		}
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections to backend servers and the choice between them.
+ */
+package io.masticlane.backend;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -0,0 +1,133 @@
+package io.masticlane.caller;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.masticlane.backend.BackendConnections;
+import io.masticlane.failure.ErrorKind;
+import io.masticlane.failure.Refusal;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Serves the requests of one caller's connection, one after another.
+ */
+final class RequestHandler extends ChannelInboundHandlerAdapter {
+
+	private static final int MAXIMUM_PIPELINED = 16;
+
+	private static final String LOOK_UP_PATH = "/v1/entry-hosts";
+
+	private final EntryServices services;
+
+	private final BackendConnections connections;
+
+	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+
+	private Exchange current;
+
+	RequestHandler(EntryServices services, BackendConnections connections) {
+		this.services = services;
+		this.connections = connections;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		FullHttpRequest request = (FullHttpRequest) message;
+		if (request.decoderResult().isFailure()) {
+			request.release();
+			refuseAndClose(context, ErrorKind.MALFORMED_REQUEST);
+		}
+		else if (this.current != null) {
+			pipeline(context, request);
+		}
+		else {
+			serve(context, request);
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.current != null) {
+			this.current.callerWritable(context.channel().isWritable());
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.pipelined.forEach(ReferenceCountUtil::release);
+		this.pipelined.clear();
+		if (this.current != null) {
+			this.current.callerGone();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	void completed(ChannelHandlerContext context, boolean keepAlive) {
+		this.current = null;
+		if (!keepAlive || !context.channel().isActive()) {
+			context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			return;
+		}
+		FullHttpRequest next = this.pipelined.pollFirst();
+		if (next != null) {
+			serve(context, next);
+		}
+	}
+
+	private void pipeline(ChannelHandlerContext context, FullHttpRequest request) {
+		if (this.pipelined.size() < MAXIMUM_PIPELINED) {
+			this.pipelined.addLast(request);
+		}
+		else {
+			request.release();
+			context.close();
+		}
+	}
+
+	private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+		if (request.uri().equals(LOOK_UP_PATH) && request.method().equals(HttpMethod.GET)) {
+			lookUp(context, request);
+		}
+		else {
+			this.current = new Exchange(this, context, request, this.services, this.connections);
+			this.current.begin();
+		}
+	}
+
+	private void lookUp(ChannelHandlerContext context, FullHttpRequest request) {
+		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		request.release();
+		this.services.metrics().lookUp();
+		if (this.services.table().get() == null) {
+			answer(context, Answers.refusal(Refusal.of(ErrorKind.NOT_READY), keepAlive), keepAlive);
+			return;
+		}
+		InetSocketAddress client = (InetSocketAddress) context.channel().remoteAddress();
+		byte[] body = this.services.lookUps().answer(client.getAddress());
+		answer(context, Answers.json(HttpResponseStatus.OK, body, keepAlive), keepAlive);
+	}
+
+	private void answer(ChannelHandlerContext context, FullHttpResponse response, boolean keepAlive) {
+		context.writeAndFlush(response);
+		completed(context, keepAlive);
+	}
+
+	private void refuseAndClose(ChannelHandlerContext context, ErrorKind kind) {
+		context.writeAndFlush(Answers.refusal(Refusal.of(kind), false)).addListener(ChannelFutureListener.CLOSE);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package io.masticlane.command;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/demo/StoreStandIn.java
@@ -0,0 +1,213 @@
+package io.masticlane.demo;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * A small stand-in for the platform's store, in memory, that speaks the part of etcd's
+ * JSON gateway that masticlane uses.
+ */
+public final class StoreStandIn implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final int BAD_REQUEST = 400;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final NavigableMap<String, Entry> entries = new TreeMap<>();
+
+	private final TreeMap<Long, Lease> leases = new TreeMap<>();
+
+	private final HttpServer server;
+
+	private final ExecutorService threads = Executors.newFixedThreadPool(8, (task) -> {
+		Thread thread = new Thread(task, "store-stand-in");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private long revision = 1;
+
+	private long calls;
+
+	/**
+	 * Creates a new store and starts listening.
+	 * @param address the address to listen at
+	 * @throws IOException if the address cannot be bound
+	 */
+	public StoreStandIn(InetSocketAddress address) throws IOException {
+		this.server = HttpServer.create(address, 0);
+		this.server.setExecutor(this.threads);
+		this.server.createContext("/v3/", this::handle);
+		this.server.start();
+	}
+
+	/**
+	 * Returns the address that the store listens at.
+	 * @return the address that the store listens at
+	 */
+	public InetSocketAddress address() {
+		return this.server.getAddress();
+	}
+
+	/**
+	 * Returns the calls that the store has answered.
+	 * @return the calls that the store has answered
+	 */
+	public synchronized long calls() {
+		return this.calls;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+		this.threads.shutdownNow();
+	}
+
+	private void handle(HttpExchange exchange) throws IOException {
+		JsonNode body = this.mapper.readTree(exchange.getRequestBody());
+		ObjectNode answer = answer(exchange.getRequestURI().getPath(), body);
+		byte[] bytes = ((answer != null) ? answer.toString() : "{\"error\":\"unknown method\"}")
+			.getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", "application/json");
+		exchange.sendResponseHeaders((answer != null) ? OK : BAD_REQUEST, bytes.length);
+		exchange.getResponseBody().write(bytes);
+		exchange.close();
+	}
+
+	private synchronized ObjectNode answer(String path, JsonNode body) {
+		this.calls++;
+		expireLeases();
+		return switch (path) {
+			case "/v3/kv/range" -> range(body);
+			case "/v3/kv/txn" -> transaction(body);
+			case "/v3/lease/grant" -> grant(body);
+			case "/v3/lease/keepalive" -> keepAlive(body);
+			case "/v3/lease/revoke" -> revoke(body);
+			default -> null;
+		};
+	}
+
+	private ObjectNode range(JsonNode body) {
+		String key = decode(body.path("key").asText());
+		String end = body.has("range_end") ? decode(body.path("range_end").asText()) : key + "\0";
+		ObjectNode answer = header();
+		ArrayNode found = answer.putArray("kvs");
+		this.entries.subMap(key, true, end, false).forEach((each, entry) -> {
+			ObjectNode node = found.addObject();
+			node.put("key", encode(each)).put("value", entry.value());
+			node.put("mod_revision", Long.toString(entry.revision())).put("lease", Long.toString(entry.lease()));
+		});
+		return answer.put("count", Integer.toString(found.size()));
+	}
+
+	private ObjectNode transaction(JsonNode body) {
+		JsonNode compare = body.path("compare").path(0);
+		Entry present = this.entries.get(decode(compare.path("key").asText()));
+		long revisionFound = (present != null) ? present.revision() : 0;
+		boolean succeeded = compare.path("mod_revision").asLong() == revisionFound;
+		ObjectNode responses = this.mapper.createObjectNode();
+		ArrayNode list = responses.putArray("responses");
+		body.path(succeeded ? "success" : "failure").forEach((operation) -> operate(operation, list));
+		ObjectNode answer = header().put("succeeded", succeeded);
+		answer.set("responses", list);
+		return answer;
+	}
+
+	private void operate(JsonNode operation, ArrayNode responses) {
+		if (operation.has("request_put")) {
+			JsonNode put = operation.get("request_put");
+			this.revision++;
+			this.entries.put(decode(put.path("key").asText()),
+					new Entry(this.revision, put.path("value").asText(), put.path("lease").asLong()));
+			responses.addObject().putObject("response_put");
+		}
+		else if (operation.has("request_delete_range")) {
+			this.revision++;
+			this.entries.remove(decode(operation.get("request_delete_range").path("key").asText()));
+			responses.addObject().putObject("response_delete_range");
+		}
+		else {
+			responses.addObject().set("response_range", range(operation.path("request_range")));
+		}
+	}
+
+	private ObjectNode grant(JsonNode body) {
+		long id = this.leases.isEmpty() ? 1 : this.leases.lastKey() + 1;
+		Lease lease = new Lease(body.path("TTL").asLong(), 0).renewed();
+		this.leases.put(id, lease);
+		return header().put("ID", Long.toString(id)).put("TTL", Long.toString(lease.seconds()));
+	}
+
+	private ObjectNode keepAlive(JsonNode body) {
+		Lease lease = this.leases.computeIfPresent(body.path("ID").asLong(), (id, found) -> found.renewed());
+		ObjectNode answer = this.mapper.createObjectNode();
+		answer.putObject("result")
+			.put("ID", body.path("ID").asText())
+			.put("TTL", Long.toString((lease != null) ? lease.seconds() : 0));
+		return answer;
+	}
+
+	private ObjectNode revoke(JsonNode body) {
+		removeLease(body.path("ID").asLong());
+		return header();
+	}
+
+	private void expireLeases() {
+		long now = System.nanoTime();
+		this.leases.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().expires() - now <= 0)
+			.map((entry) -> entry.getKey())
+			.toList()
+			.forEach(this::removeLease);
+	}
+
+	private void removeLease(long id) {
+		this.leases.remove(id);
+		if (this.entries.values().removeIf((entry) -> entry.lease() == id)) {
+			this.revision++;
+		}
+	}
+
+	private ObjectNode header() {
+		ObjectNode answer = this.mapper.createObjectNode();
+		answer.putObject("header").put("revision", Long.toString(this.revision));
+		return answer;
+	}
+
+	private static String encode(String text) {
+		return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static String decode(String text) {
+		return new String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8);
+	}
+
+	private record Entry(long revision, String value, long lease) {
+	}
+
+	private record Lease(long seconds, long expires) {
+
+		Lease renewed() {
+			return new Lease(this.seconds, System.nanoTime() + TimeUnit.SECONDS.toNanos(this.seconds));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/duty/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Threads that each have one duty, fed by bounded rings.
+ */
+package io.masticlane.duty;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry daemon, which joins all duties.
+ */
+package io.masticlane.entry;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -0,0 +1,121 @@
+package io.masticlane.event;
+
+/**
+ * The numbered events that programs log; the catalogue in docs/EVENTS.md explains each.
+ */
+public enum Event {
+
+	/**
+	 * An entry host started.
+	 */
+	ENTRY_STARTED(1001, Severity.INFORMATION, "entry host {} started with incarnation {}"),
+
+	/**
+	 * An entry host began a planned stop.
+	 */
+	ENTRY_STOPPING(1002, Severity.INFORMATION, "entry host {} stops after requests in flight: {}"),
+
+	/**
+	 * An entry host stopped.
+	 */
+	ENTRY_STOPPED(1003, Severity.INFORMATION, "entry host {} stopped with requests in flight: {}"),
+
+	/**
+	 * A configuration came into force.
+	 */
+	CONFIGURATION_IN_FORCE(2001, Severity.INFORMATION, "revision {} is in force, heard from {}"),
+
+	/**
+	 * A configuration document was rejected.
+	 */
+	CONFIGURATION_REJECTED(2002, Severity.WARNING, "revision {} from {} was rejected: {}"),
+
+	/**
+	 * The store stopped answering.
+	 */
+	STORE_LOST(3001, Severity.WARNING, "the store does not answer: {}"),
+
+	/**
+	 * The store answers again.
+	 */
+	STORE_HEARD(3002, Severity.INFORMATION, "the store answers"),
+
+	/**
+	 * A peer was heard for the first time or again.
+	 */
+	PEER_HEARD(4001, Severity.INFORMATION, "entry host {} is heard with incarnation {}"),
+
+	/**
+	 * A peer connection was lost.
+	 */
+	PEER_LOST(4002, Severity.WARNING, "entry host {} is no longer heard: {}"),
+
+	/**
+	 * A peer sent a frame that could not be decoded.
+	 */
+	PEER_MALFORMED(4003, Severity.WARNING, "connection {} was closed: {}"),
+
+	/**
+	 * A duty failed on one command and went on.
+	 */
+	DUTY_FAILED(9001, Severity.ERROR, "duty {} failed on a command: {}");
+
+	private final int number;
+
+	private final Severity severity;
+
+	private final String pattern;
+
+	Event(int number, Severity severity, String pattern) {
+		this.number = number;
+		this.severity = severity;
+		this.pattern = pattern;
+	}
+
+	/**
+	 * Returns the number of the event.
+	 * @return the number of the event
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns the severity of the event.
+	 * @return the severity of the event
+	 */
+	public Severity severity() {
+		return this.severity;
+	}
+
+	/**
+	 * Returns the text of the event with a placeholder for each argument.
+	 * @return the text of the event
+	 */
+	public String pattern() {
+		return this.pattern;
+	}
+
+	/**
+	 * How much an event matters to operators.
+	 */
+	public enum Severity {
+
+		/**
+		 * The event is part of ordinary work.
+		 */
+		INFORMATION,
+
+		/**
+		 * The event may need an operator's attention.
+		 */
+		WARNING,
+
+		/**
+		 * The event is a fault of the program.
+		 */
+		ERROR
+
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The numbered events that programs log.
+ */
+package io.masticlane.event;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/limit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Fleet-wide limits divided into shares of entry hosts.
+ */
+package io.masticlane.limit;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -0,0 +1,127 @@
+package io.masticlane.membership;
+
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import io.masticlane.caller.LookUps;
+import io.masticlane.configuration.Configuration;
+import io.masticlane.configuration.EntryHost;
+import io.masticlane.configuration.Region;
+import io.masticlane.route.RoutingTable;
+
+/**
+ * The rendered answers to look-ups: for each region the entry hosts in the order in which
+ * its callers should use them.
+ */
+public final class EntryHostDirectory implements LookUps {
+
+	private final byte[] fallback;
+
+	private final Map<String, byte[]> answers;
+
+	private final Function<InetAddress, String> regions;
+
+	private EntryHostDirectory(byte[] fallback, Map<String, byte[]> answers, Function<InetAddress, String> regions) {
+		this.fallback = fallback;
+		this.answers = answers;
+		this.regions = regions;
+	}
+
+	/**
+	 * Creates a new directory.
+	 * @param table the routing table in force
+	 * @param hosts the entry hosts that are heard
+	 * @param localRegion the region of callers whose block is not known
+	 * @param ttlMillis the time to live of an answer
+	 * @param regions finds the region of a client, or an empty text
+	 * @return the directory
+	 */
+	public static EntryHostDirectory of(RoutingTable table, List<HeardHost> hosts, String localRegion, long ttlMillis,
+			Function<InetAddress, String> regions) {
+		Set<String> names = table.configuration().regions().stream().map(Region::name).collect(Collectors.toSet());
+		Map<String, byte[]> answers = names.stream()
+			.collect(Collectors.toUnmodifiableMap(Function.identity(),
+					(region) -> render(table, hosts, region, ttlMillis)));
+		return new EntryHostDirectory(render(table, hosts, localRegion, ttlMillis), answers, regions);
+	}
+
+	/**
+	 * Lists the configured entry hosts that are heard.
+	 * @param configuration the configuration in force
+	 * @param self this entry host
+	 * @param members the members that are heard
+	 * @return the entry hosts that are heard
+	 */
+	public static List<HeardHost> heardHosts(Configuration configuration, HeardHost self, List<Member> members) {
+		Map<String, Member> byName = members.stream().collect(Collectors.toMap(Member::host, Function.identity()));
+		return configuration.entryHosts()
+			.stream()
+			.filter((host) -> byName.containsKey(host.name()) || host.name().equals(self.host()))
+			.map((host) -> {
+				Member member = byName.get(host.name());
+				return host.name().equals(self.host()) ? self : new HeardHost(host.name(), member.incarnation(),
+						member.heartbeat().load(), member.heartbeat().leaving());
+			})
+			.toList();
+	}
+
+	@Override
+	public byte[] answer(InetAddress client) {
+		return this.answers.getOrDefault(this.regions.apply(client), this.fallback);
+	}
+
+	private static byte[] render(RoutingTable table, List<HeardHost> hosts, String region, long ttlMillis) {
+		Map<String, EntryHost> configured = table.configuration()
+			.entryHosts()
+			.stream()
+			.collect(Collectors.toMap(EntryHost::name, Function.identity()));
+		Comparator<HeardHost> order = Comparator.comparing(HeardHost::leaving)
+			.thenComparing((host) -> distance(table, region, table.region(configured.get(host.host()).dataCentre())))
+			.thenComparing(HeardHost::load)
+			.thenComparing(HeardHost::host);
+		String list = hosts.stream()
+			.sorted(order)
+			.map((host) -> entry(configured.get(host.host()), host, table))
+			.collect(Collectors.joining(","));
+		return ("{\"revision\":" + table.revision() + ",\"ttlMillis\":" + ttlMillis + ",\"entryHosts\":[" + list
+				+ "]}\n")
+			.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static String entry(EntryHost configured, HeardHost heard, RoutingTable table) {
+		return "{\"name\":\"" + heard.host() + "\",\"address\":\"" + configured.callerAddress() + "\",\"region\":\""
+				+ table.region(configured.dataCentre()) + "\",\"incarnation\":\"" + heard.incarnation()
+				+ "\",\"leaving\":" + heard.leaving() + "}";
+	}
+
+	private static double distance(RoutingTable table, String from, String to) {
+		if (from.equals(to)) {
+			return 0;
+		}
+		return table.configuration()
+			.links()
+			.stream()
+			.filter((link) -> link.joins(from, to))
+			.mapToDouble((link) -> link.roundTripMillis())
+			.min()
+			.orElse(Double.MAX_VALUE);
+	}
+
+	/**
+	 * An entry host that is heard.
+	 *
+	 * @param host the name of the entry host
+	 * @param incarnation the identifier of its process
+	 * @param load the requests in flight
+	 * @param leaving whether it is shutting down
+	 */
+	public record HeardHost(String host, String incarnation, double load, boolean leaving) {
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/membership/Member.java
@@ -0,0 +1,14 @@
+package io.masticlane.membership;
+
+import io.masticlane.message.Message;
+
+/**
+ * What an entry host last told of itself.
+ *
+ * @param host the name of the entry host
+ * @param incarnation the identifier of its process
+ * @param heartbeat the last heartbeat
+ * @param heardAt the time of the last heartbeat on the monotonic clock in nanoseconds
+ */
+public record Member(String host, String incarnation, Message.Heartbeat heartbeat, long heardAt) {
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry hosts that are heard, and what they last told.
+ */
+package io.masticlane.membership;
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -88,7 +88,7 @@
 				unpacker.skipValue(size - 3);
 				break;
 			default:
-				throw new IOException("unknown message tag " + tag);
+				throw new MalformedMessageException("unknown message tag " + tag);
 		}
 		return decoded;
 	}
--- a/masticlane/src/main/java/io/masticlane/message/MessageFrame.java
+++ b/masticlane/src/main/java/io/masticlane/message/MessageFrame.java
@@ -51,20 +51,22 @@
 			return Message.decode(unpacker);
 		}
 		catch (MessagePackException ex) {
-			throw new IOException("malformed MessagePack: " + ex.getMessage(), ex);
+			throw new MalformedMessageException("malformed MessagePack: " + ex);
 		}
 	}
 
 	static void checkSize(int tag, int size, int expected) throws IOException {
 		if (size < expected) {
-			throw new IOException("message " + tag + " has " + size + " elements, expected at least " + expected);
+			throw new MalformedMessageException(
+					"message " + tag + " has " + size + " elements, expected at least " + expected);
 		}
 	}
 
 	static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
 		int length = unpacker.unpackBinaryHeader();
 		if (length > MAXIMUM_BYTES) {
-			throw new IOException("binary field of " + length + " bytes, expected at most " + MAXIMUM_BYTES);
+			throw new MalformedMessageException(
+					"binary field of " + length + " bytes, expected at most " + MAXIMUM_BYTES);
 		}
 		return unpacker.readPayload(length);
 	}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/operation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operations that run at most once.
+ */
+package io.masticlane.operation;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/operator/Metrics.java
@@ -0,0 +1,97 @@
+package io.masticlane.operator;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The metrics of an entry daemon.
+ */
+public final class Metrics {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter lookUps = Counter.builder()
+		.name("masticlane_look_ups_total")
+		.help("Look-ups answered.")
+		.register(this.registry);
+
+	private final Counter requests = Counter.builder()
+		.name("masticlane_requests_total")
+		.help("Requests by service, organisation and result.")
+		.labelNames("service", "organisation", "result")
+		.register(this.registry);
+
+	private final Histogram latency = Histogram.builder()
+		.name("masticlane_request_seconds")
+		.help("Time from a request's arrival to its answer's end.")
+		.classicOnly()
+		.classicUpperBounds(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.4, 1, 2, 5, 10)
+		.labelNames("service", "organisation")
+		.register(this.registry);
+
+	private final Gauge revision = Gauge.builder()
+		.name("masticlane_configuration_revision")
+		.help("The configuration revision in force.")
+		.register(this.registry);
+
+	/**
+	 * Counts a look-up.
+	 */
+	public void lookUp() {
+		this.lookUps.inc();
+	}
+
+	/**
+	 * Counts a request.
+	 * @param service the name of the service, or an empty text
+	 * @param organisation the name of the organisation, or an empty text
+	 * @param result the result: answered, abandoned, cut, or an error kind
+	 * @param nanos the time from arrival to end in nanoseconds
+	 */
+	public void request(String service, String organisation, String result, long nanos) {
+		this.requests.labelValues(service, organisation, result).inc();
+		if (result.equals("answered")) {
+			this.latency.labelValues(service, organisation).observe(nanos / NANOS_PER_SECOND);
+		}
+	}
+
+	/**
+	 * Records the revision in force.
+	 * @param revision the configuration revision in force
+	 */
+	public void revision(long revision) {
+		this.revision.set(revision);
+	}
+
+	/**
+	 * Returns the registry, for metrics of other packages.
+	 * @return the registry
+	 */
+	public PrometheusRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Renders all metrics in the Prometheus text format.
+	 * @return the text in UTF-8
+	 */
+	public byte[] render() {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		try {
+			new PrometheusTextFormatWriter(true).write(output, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a byte array takes every write", ex);
+		}
+		return output.toByteArray();
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerHandler.java
@@ -0,0 +1,90 @@
+package io.masticlane.peer;
+
+import java.io.IOException;
+
+import io.masticlane.event.Event;
+import io.masticlane.event.EventLog;
+import io.masticlane.message.MalformedMessageException;
+import io.masticlane.message.Message;
+import io.masticlane.message.MessageFrame;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.ReadTimeoutException;
+
+/**
+ * Decodes the messages of one connection; nothing counts before the greeting.
+ */
+final class PeerHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private final PeerNetwork network;
+
+	private final Peer self;
+
+	private final PeerListener listener;
+
+	private final EventLog events;
+
+	private Peer peer;
+
+	private String reason = "closed by the peer";
+
+	PeerHandler(PeerNetwork network, Peer self, PeerListener listener, EventLog events) {
+		this.network = network;
+		this.self = self;
+		this.listener = listener;
+		this.events = events;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		PeerNetwork.write(context.channel(),
+				new Message.Greeting(Message.PROTOCOL_VERSION, this.self.host(), this.self.incarnation()));
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
+		byte[] payload = new byte[frame.readableBytes()];
+		frame.readBytes(payload);
+		Message message = MessageFrame.decode(payload);
+		if (message instanceof Message.Greeting greeting) {
+			greet(context, greeting);
+		}
+		else if (this.peer == null) {
+			throw new MalformedMessageException("a message came before the greeting");
+		}
+		if (this.peer != null) {
+			this.listener.heard(this.peer, message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.network.closed(context.channel(), this.reason);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.reason = (cause instanceof ReadTimeoutException) ? "silent" : cause.toString();
+		if (cause instanceof MalformedMessageException || cause instanceof DecoderException) {
+			this.events.record(Event.PEER_MALFORMED, context.channel().remoteAddress(), cause.getMessage());
+		}
+		context.close();
+	}
+
+	private void greet(ChannelHandlerContext context, Message.Greeting greeting) throws IOException {
+		if (greeting.protocolVersion() != Message.PROTOCOL_VERSION) {
+			throw new MalformedMessageException(
+					"protocol version: got " + greeting.protocolVersion() + ", expected " + Message.PROTOCOL_VERSION);
+		}
+		Peer greeted = new Peer(greeting.host(), greeting.incarnation());
+		if (greeted.equals(this.self)) {
+			context.close();
+			return;
+		}
+		this.peer = greeted;
+		this.network.greeted(context.channel(), greeted);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections between entry hosts.
+ */
+package io.masticlane.peer;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/platform/EtcdStore.java
@@ -0,0 +1,164 @@
+package io.masticlane.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A store that speaks the JSON gateway of etcd version 3.
+ */
+public final class EtcdStore implements Store {
+
+	private static final int OK = 200;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final HttpClient client;
+
+	private final String base;
+
+	private final Duration timeout;
+
+	/**
+	 * Creates a new store client.
+	 * @param address the address of the store
+	 * @param timeout the time after which a call has failed
+	 * @param executor the executor of the client's work
+	 */
+	public EtcdStore(InetSocketAddress address, Duration timeout, Executor executor) {
+		this.client = HttpClient.newBuilder()
+			.version(HttpClient.Version.HTTP_1_1)
+			.connectTimeout(timeout)
+			.executor(executor)
+			.build();
+		this.base = "http://" + address.getHostString() + ":" + address.getPort() + "/v3/";
+		this.timeout = timeout;
+	}
+
+	@Override
+	public CompletableFuture<Optional<Entry>> read(String key) {
+		return call("kv/range", MAPPER.createObjectNode().put("key", encode(key)))
+			.thenApply((answer) -> entries(answer).stream().findFirst());
+	}
+
+	@Override
+	public CompletableFuture<List<Entry>> list(String prefix) {
+		ObjectNode body = MAPPER.createObjectNode().put("key", encode(prefix)).put("range_end", encode(end(prefix)));
+		return call("kv/range", body).thenApply(EtcdStore::entries);
+	}
+
+	@Override
+	public CompletableFuture<WriteResult> compareAndSet(String key, long expectedRevision, byte[] value, long lease) {
+		ObjectNode body = comparison(key, expectedRevision);
+		ObjectNode put = body.putArray("success").addObject().putObject("request_put");
+		put.put("key", encode(key)).put("value", Base64.getEncoder().encodeToString(value));
+		put.put("lease", Long.toString(lease));
+		body.putArray("failure").addObject().putObject("request_range").put("key", encode(key));
+		return call("kv/txn", body).thenApply(EtcdStore::writeResult);
+	}
+
+	@Override
+	public CompletableFuture<Boolean> compareAndDelete(String key, long expectedRevision) {
+		ObjectNode body = comparison(key, expectedRevision);
+		body.putArray("success").addObject().putObject("request_delete_range").put("key", encode(key));
+		return call("kv/txn", body).thenApply((answer) -> answer.path("succeeded").asBoolean());
+	}
+
+	@Override
+	public CompletableFuture<Long> grantLease(long seconds) {
+		return call("lease/grant", MAPPER.createObjectNode().put("TTL", Long.toString(seconds)))
+			.thenApply((answer) -> answer.path("ID").asLong());
+	}
+
+	@Override
+	public CompletableFuture<Boolean> renewLease(long lease) {
+		return call("lease/keepalive", MAPPER.createObjectNode().put("ID", Long.toString(lease)))
+			.thenApply((answer) -> answer.path("result").path("TTL").asLong() > 0);
+	}
+
+	@Override
+	public CompletableFuture<Void> revokeLease(long lease) {
+		return call("lease/revoke", MAPPER.createObjectNode().put("ID", Long.toString(lease)))
+			.thenApply((answer) -> null);
+	}
+
+	private CompletableFuture<JsonNode> call(String method, ObjectNode body) {
+		HttpRequest request = HttpRequest.newBuilder(URI.create(this.base + method))
+			.timeout(this.timeout)
+			.header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+			.build();
+		return this.client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+			.orTimeout(this.timeout.toMillis(), TimeUnit.MILLISECONDS)
+			.handle((response, failure) -> answer(method, response, failure));
+	}
+
+	private static JsonNode answer(String method, HttpResponse<byte[]> response, Throwable failure) {
+		if (failure != null) {
+			Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+			throw new StoreException(method + " has no answer: " + cause, cause);
+		}
+		if (response.statusCode() != OK) {
+			throw new StoreException(method + " was answered with status " + response.statusCode(), null);
+		}
+		try {
+			return MAPPER.readTree(response.body());
+		}
+		catch (IOException ex) {
+			throw new StoreException(method + " was answered with malformed JSON", ex);
+		}
+	}
+
+	private static ObjectNode comparison(String key, long expectedRevision) {
+		ObjectNode body = MAPPER.createObjectNode();
+		ObjectNode compare = body.putArray("compare").addObject();
+		compare.put("key", encode(key)).put("target", "MOD").put("result", "EQUAL");
+		compare.put("mod_revision", Long.toString(expectedRevision));
+		return body;
+	}
+
+	private static WriteResult writeResult(JsonNode answer) {
+		if (answer.path("succeeded").asBoolean()) {
+			return new WriteResult(true, answer.path("header").path("revision").asLong());
+		}
+		JsonNode found = answer.path("responses").path(0).path("response_range").path("kvs").path(0);
+		return new WriteResult(false, found.path("mod_revision").asLong(ABSENT));
+	}
+
+	private static List<Entry> entries(JsonNode answer) {
+		return StreamSupport.stream(answer.path("kvs").spliterator(), false)
+			.map((each) -> new Entry(decode(each.path("key").asText()), each.path("mod_revision").asLong(),
+					Base64.getDecoder().decode(each.path("value").asText())))
+			.toList();
+	}
+
+	private static String end(String prefix) {
+		return prefix.substring(0, prefix.length() - 1) + (char) (prefix.charAt(prefix.length() - 1) + 1);
+	}
+
+	private static String encode(String key) {
+		return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static String decode(String key) {
+		return new String(Base64.getDecoder().decode(key), StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/platform/Store.java
@@ -0,0 +1,95 @@
+package io.masticlane.platform;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The platform's key-value store. A call without an answer fails with a
+ * {@link StoreException}.
+ */
+public interface Store {
+
+	/**
+	 * The revision of a key that does not exist.
+	 */
+	long ABSENT = 0;
+
+	/**
+	 * The lease of a key that lives without one.
+	 */
+	long NO_LEASE = 0;
+
+	/**
+	 * Reads a key.
+	 * @param key the key
+	 * @return the entry, or nothing if the key does not exist
+	 */
+	CompletableFuture<Optional<Entry>> read(String key);
+
+	/**
+	 * Lists the entries of all keys with a prefix.
+	 * @param prefix the prefix
+	 * @return the entries
+	 */
+	CompletableFuture<List<Entry>> list(String prefix);
+
+	/**
+	 * Writes a key if it still has an expected revision.
+	 * @param key the key
+	 * @param expectedRevision the expected revision, or {@link #ABSENT}
+	 * @param value the new value
+	 * @param lease the lease that the key lives by, or {@link #NO_LEASE}
+	 * @return the result of the write
+	 */
+	CompletableFuture<WriteResult> compareAndSet(String key, long expectedRevision, byte[] value, long lease);
+
+	/**
+	 * Deletes a key if it still has an expected revision.
+	 * @param key the key
+	 * @param expectedRevision the expected revision
+	 * @return whether the key was deleted
+	 */
+	CompletableFuture<Boolean> compareAndDelete(String key, long expectedRevision);
+
+	/**
+	 * Grants a new lease.
+	 * @param seconds the time to live in seconds
+	 * @return the identifier of the lease
+	 */
+	CompletableFuture<Long> grantLease(long seconds);
+
+	/**
+	 * Renews a lease.
+	 * @param lease the identifier of the lease
+	 * @return whether the lease was still alive and is renewed
+	 */
+	CompletableFuture<Boolean> renewLease(long lease);
+
+	/**
+	 * Revokes a lease, which deletes its keys.
+	 * @param lease the identifier of the lease
+	 * @return a future that completes when the lease is revoked
+	 */
+	CompletableFuture<Void> revokeLease(long lease);
+
+	/**
+	 * An entry of the store.
+	 *
+	 * @param key the key
+	 * @param revision the revision of the last write to the key
+	 * @param value the value
+	 */
+	record Entry(String key, long revision, byte[] value) {
+	}
+
+	/**
+	 * The result of a conditional write.
+	 *
+	 * @param succeeded whether the write took effect
+	 * @param revision the revision of the write, or of the key that prevented it
+	 */
+	record WriteResult(boolean succeeded, long revision) {
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform's key-value store behind one interface.
+ */
+package io.masticlane.platform;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/route/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The routing table that a configuration gives.
+ */
+package io.masticlane.route;
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/Arrival.java
@@ -0,0 +1,26 @@
+package io.masticlane.steering;
+
+import io.masticlane.route.RoutingTable;
+
+/**
+ * A request that waits for decisions.
+ *
+ * @param organisation the organisation whose key came with the request, or an empty text
+ * on an open route
+ * @param match the route of the request and its service
+ * @param operation the idempotency key, or an empty text
+ * @param deadline the time on the monotonic clock by which the answer is due, in
+ * nanoseconds
+ * @param carrier the executor of the decisions
+ */
+public record Arrival(String organisation, RoutingTable.Match match, String operation, long deadline, Carrier carrier) {
+
+	/**
+	 * Tells whether the request may run more than once.
+	 * @return whether the request may run more than once
+	 */
+	public boolean idempotent() {
+		return this.match.route().idempotent();
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/AttemptEnd.java
@@ -0,0 +1,38 @@
+package io.masticlane.steering;
+
+/**
+ * How an attempt at a backend server ended.
+ */
+public enum AttemptEnd {
+
+	/**
+	 * The answer was carried to the caller.
+	 */
+	ANSWERED,
+
+	/**
+	 * Nothing of the request reached the backend server.
+	 */
+	NOT_SENT,
+
+	/**
+	 * The backend server refused the request before running it.
+	 */
+	SHED,
+
+	/**
+	 * The backend server or its connection was lost after the request was sent.
+	 */
+	LOST,
+
+	/**
+	 * The deadline passed after the request was sent.
+	 */
+	TIMED_OUT,
+
+	/**
+	 * The caller went away, or its answer was cut after it had begun.
+	 */
+	ABANDONED
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/Carrier.java
@@ -0,0 +1,23 @@
+package io.masticlane.steering;
+
+import io.masticlane.configuration.BackendServer;
+import io.masticlane.failure.Refusal;
+
+/**
+ * Carries out the decisions on one request.
+ */
+public interface Carrier {
+
+	/**
+	 * Sends the request to a backend server.
+	 * @param server the backend server
+	 */
+	void dispatch(BackendServer server);
+
+	/**
+	 * Refuses the request.
+	 * @param refusal the refusal
+	 */
+	void refuse(Refusal refusal);
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -0,0 +1,171 @@
+package io.masticlane.steering;
+
+import java.util.Optional;
+
+import io.masticlane.backend.Balancer;
+import io.masticlane.configuration.BackendServer;
+import io.masticlane.failure.ErrorKind;
+import io.masticlane.failure.Refusal;
+import io.masticlane.limit.Limits;
+import io.masticlane.operation.Operations;
+import io.masticlane.route.RoutingTable;
+
+/**
+ * Decides on every request: admission, claim, choice of a backend server and retries.
+ * Used on the decisions' thread alone; time comes with each call.
+ */
+public final class Steering {
+
+	private static final int MAXIMUM_ATTEMPTS = 3;
+
+	private final Limits limits;
+
+	private final Operations operations;
+
+	private final Balancer balancer;
+
+	private int inFlight;
+
+	/**
+	 * Creates a new decision core.
+	 * @param limits the fleet-wide limits
+	 * @param operations the operations that run at most once
+	 * @param balancer the choice between backend servers
+	 */
+	public Steering(Limits limits, Operations operations, Balancer balancer) {
+		this.limits = limits;
+		this.operations = operations;
+		this.balancer = balancer;
+	}
+
+	/**
+	 * Puts a configuration in force.
+	 * @param table the routing table of the configuration
+	 * @param now the present in nanoseconds
+	 */
+	public void configure(RoutingTable table, long now) {
+		this.limits.configure(table.configuration(), table.revision(), now);
+		this.balancer.configure(table);
+	}
+
+	/**
+	 * Decides on a request that arrived.
+	 * @param arrival the request
+	 * @param now the present in nanoseconds
+	 * @return the state of the request, to be given back with each later event
+	 */
+	public Flight arrive(Arrival arrival, long now) {
+		Flight flight = new Flight(arrival);
+		this.inFlight++;
+		if (!admitted(arrival, now)) {
+			refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED));
+		}
+		else if (arrival.idempotent()) {
+			dispatch(flight, now);
+		}
+		else {
+			this.operations.claim(arrival.organisation(), arrival.operation(),
+					(verdict) -> claimed(flight, verdict, now));
+		}
+		return flight;
+	}
+
+	/**
+	 * Decides how a request goes on after an attempt ended.
+	 * @param flight the state of the request
+	 * @param end how the attempt ended
+	 * @param now the present in nanoseconds
+	 */
+	public void attemptEnded(Flight flight, AttemptEnd end, long now) {
+		if (flight.ended()) {
+			return;
+		}
+		if (flight.server() != null) {
+			this.balancer.release(flight.server(), end);
+		}
+		switch (end) {
+			case ANSWERED, ABANDONED -> finish(flight);
+			case NOT_SENT, SHED -> retry(flight, now);
+			case LOST -> lost(flight, now);
+			case TIMED_OUT -> refuse(flight, Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
+		}
+	}
+
+	/**
+	 * Returns the requests between arrival and end.
+	 * @return the requests between arrival and end
+	 */
+	public int inFlight() {
+		return this.inFlight;
+	}
+
+	private boolean admitted(Arrival arrival, long now) {
+		return arrival.organisation().isEmpty()
+				|| this.limits.take(Limits.ofOrganisation(arrival.organisation()), 1, now);
+	}
+
+	private void claimed(Flight flight, Operations.Verdict verdict, long now) {
+		boolean granted = verdict == Operations.Verdict.GRANTED;
+		if (flight.ended()) {
+			if (granted) {
+				this.operations.release(flight.arrival().organisation(), flight.arrival().operation());
+			}
+		}
+		else if (granted) {
+			flight.claim();
+			dispatch(flight, now);
+		}
+		else {
+			refuse(flight, Refusal.of(ErrorKind.OPERATION_UNKNOWN));
+		}
+	}
+
+	private void dispatch(Flight flight, long now) {
+		Arrival arrival = flight.arrival();
+		Optional<BackendServer> server = (arrival.deadline() - now > 0)
+				? this.balancer.choose(arrival.match().service().name(), flight.tried()) : Optional.empty();
+		if (server.isPresent()) {
+			flight.assign(server.get());
+			arrival.carrier().dispatch(server.get());
+		}
+		else {
+			notRun(flight);
+		}
+	}
+
+	private void retry(Flight flight, long now) {
+		if (flight.tried().size() < MAXIMUM_ATTEMPTS) {
+			dispatch(flight, now);
+		}
+		else {
+			notRun(flight);
+		}
+	}
+
+	private void lost(Flight flight, long now) {
+		if (flight.arrival().idempotent()) {
+			retry(flight, now);
+		}
+		else {
+			refuse(flight, Refusal.of(ErrorKind.BACKEND_LOST));
+		}
+	}
+
+	private void notRun(Flight flight) {
+		if (flight.claimed()) {
+			this.operations.release(flight.arrival().organisation(), flight.arrival().operation());
+		}
+		refuse(flight, Refusal.of(ErrorKind.OVERLOADED));
+	}
+
+	private void refuse(Flight flight, Refusal refusal) {
+		finish(flight);
+		flight.arrival().carrier().refuse(refusal);
+	}
+
+	private void finish(Flight flight) {
+		flight.end();
+		this.inFlight--;
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The decision core, without input, output or clock.
+ */
+package io.masticlane.steering;
--- a/schema/src/main/java/io/masticlane/schema/MessageGenerator.java
+++ b/schema/src/main/java/io/masticlane/schema/MessageGenerator.java
@@ -76,7 +76,8 @@
 			.unindent());
 		code.add("default:\n")
 			.indent()
-			.addStatement("throw new $T($S + tag)", IOException.class, "unknown message tag ")
+			.addStatement("throw new $T($S + tag)", ClassName.get(message.packageName(), "MalformedMessageException"),
+					"unknown message tag ")
 			.unindent()
 			.endControlFlow()
 			.addStatement("return decoded");
