--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package io.masticlane.peer;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Map;
@@ -52,6 +53,8 @@
 
 	private final Map<Channel, Peer> greeted = new ConcurrentHashMap<>();
 
+	private volatile InetAddress local;
+
 	/**
 	 * Creates a new network.
 	 * @param loops the event loops of the peers' side
@@ -69,11 +72,12 @@
 	}
 
 	/**
-	 * Starts listening.
+	 * Starts listening; connections to peers leave from the same IP number.
 	 * @param address the address to listen at
 	 * @return the listening channel
 	 */
 	public Channel listen(InetSocketAddress address) {
+		this.local = address.getAddress();
 		return new ServerBootstrap().group(this.loops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -144,7 +148,7 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.handler(initializer())
-			.connect(address)
+			.connect(address, new InetSocketAddress(this.local, 0))
 			.addListener((ChannelFuture connected) -> connected.channel()
 				.closeFuture()
 				.addListener((closed) -> dialAgain(address)));
