Route peers' messages to a handler for each type

Cause: every new message would have grown one method of the daemon. Change: a router with one handler for each type; verdicts carry the present.

--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -27,6 +27,7 @@
 import io.masticlane.operation.StoreOperations;
 import io.masticlane.operator.Metrics;
 import io.masticlane.operator.OperatorServer;
+import io.masticlane.peer.MessageRouter;
 import io.masticlane.peer.Peer;
 import io.masticlane.peer.PeerListener;
 import io.masticlane.peer.PeerNetwork;
@@ -79,6 +80,8 @@
 
 	private final PeerNetwork network;
 
+	private final MessageRouter router = new MessageRouter();
+
 	private final Steering steering;
 
 	private final Duty decisions;
@@ -124,6 +127,7 @@
 		this.steering = new Steering(new Limits.EqualShares(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				new Balancer.LeastLoaded(settings.dataCentre()));
+		registerHandlers();
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
 				(entry) -> this.decisions.offer(() -> storeHeard(entry.orElse(null))), events);
@@ -169,6 +173,28 @@
 		this.platformClient.shutdownNow();
 	}
 
+	private void registerHandlers() {
+		this.router.on(Message.Heartbeat.class, this::heartbeatHeard);
+		this.router.on(Message.ConfigurationQuery.class, this::configurationQueried);
+		this.router.on(Message.ConfigurationPush.class,
+				(peer, push) -> this.configuration.offer(push.revision(), push.document(), peer.host()));
+	}
+
+	private void heartbeatHeard(Peer peer, Message.Heartbeat heartbeat) {
+		if (this.members.heard(peer, heartbeat, System.nanoTime())) {
+			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
+		}
+		if (heartbeat.revision() > this.configuration.revision()) {
+			this.network.send(peer.host(), new Message.ConfigurationQuery(this.configuration.revision()));
+		}
+	}
+
+	private void configurationQueried(Peer peer, Message.ConfigurationQuery query) {
+		if (query.revision() < this.configuration.revision()) {
+			this.network.send(peer.host(), this.configuration.push());
+		}
+	}
+
 	private Executor executor() {
 		return (command) -> this.decisions.offer(command);
 	}
@@ -266,7 +292,7 @@
 
 		@Override
 		public void heard(Peer peer, Message message) {
-			EntryDaemon.this.decisions.offer(() -> decide(peer, message));
+			EntryDaemon.this.decisions.offer(() -> EntryDaemon.this.router.route(peer, message));
 		}
 
 		@Override
@@ -275,25 +301,6 @@
 			EntryDaemon.this.events.record(Event.PEER_LOST, peer.host(), reason);
 		}
 
-		private void decide(Peer peer, Message message) {
-			EntryDaemon daemon = EntryDaemon.this;
-			if (message instanceof Message.Heartbeat heartbeat) {
-				if (daemon.members.heard(peer, heartbeat, System.nanoTime())) {
-					daemon.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
-				}
-				if (heartbeat.revision() > daemon.configuration.revision()) {
-					daemon.network.send(peer.host(), new Message.ConfigurationQuery(daemon.configuration.revision()));
-				}
-			}
-			else if (message instanceof Message.ConfigurationQuery query
-					&& query.revision() < daemon.configuration.revision()) {
-				daemon.network.send(peer.host(), daemon.configuration.push());
-			}
-			else if (message instanceof Message.ConfigurationPush push) {
-				daemon.configuration.offer(push.revision(), push.document(), peer.host());
-			}
-		}
-
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/operation/Operations.java
+++ b/masticlane/src/main/java/io/masticlane/operation/Operations.java
@@ -1,7 +1,5 @@
 package io.masticlane.operation;
 
-import java.util.function.Consumer;
-
 /**
  * Decides which attempt may run an operation, so that it runs at most once.
  */
@@ -13,7 +11,7 @@
 	 * @param operation the idempotency key of the request
 	 * @param answer the receiver of the verdict, on the decisions' thread
 	 */
-	void claim(String organisation, String operation, Consumer<Verdict> answer);
+	void claim(String organisation, String operation, VerdictReceiver answer);
 
 	/**
 	 * Returns a granted right, since the operation was certainly not run.
@@ -22,6 +20,21 @@
 	 */
 	void release(String organisation, String operation);
 
+	/**
+	 * Receives the verdict on a claim.
+	 */
+	@FunctionalInterface
+	interface VerdictReceiver {
+
+		/**
+		 * Receives the verdict.
+		 * @param verdict the verdict
+		 * @param now the present on the monotonic clock in nanoseconds
+		 */
+		void receive(Verdict verdict, long now);
+
+	}
+
 	/**
 	 * The verdict on a claim.
 	 */
--- a/masticlane/src/main/java/io/masticlane/operation/StoreOperations.java
+++ b/masticlane/src/main/java/io/masticlane/operation/StoreOperations.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 
 import io.masticlane.platform.Store;
 
@@ -34,11 +33,11 @@
 	}
 
 	@Override
-	public void claim(String organisation, String operation, Consumer<Verdict> answer) {
+	public void claim(String organisation, String operation, VerdictReceiver answer) {
 		byte[] value = this.incarnation.getBytes(StandardCharsets.UTF_8);
 		this.store.compareAndSet(key(organisation, operation), Store.ABSENT, value, Store.NO_LEASE)
 			.handle((result, failure) -> (failure == null && result.succeeded()) ? Verdict.GRANTED : Verdict.UNKNOWN)
-			.thenAcceptAsync(answer, this.decisions);
+			.thenAcceptAsync((verdict) -> answer.receive(verdict, System.nanoTime()), this.decisions);
 	}
 
 	@Override
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -65,7 +65,7 @@
 		}
 		else {
 			this.operations.claim(arrival.organisation(), arrival.operation(),
-					(verdict) -> claimed(flight, verdict, now));
+					(verdict, at) -> claimed(flight, verdict, at));
 		}
 		return flight;
 	}
