Name every fleet-wide limit of a configuration

Regions, links and planned moves are limits beside organisations, each with a rate and a burst that all entry hosts together may use. Limits tells how long to wait for tokens, as a hint for a bounded wait.

--- a/masticlane/src/main/java/io/masticlane/limit/Limits.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Limits.java
@@ -19,6 +19,34 @@
 		return "organisation/" + organisation;
 	}
 
+	/**
+	 * Returns the identifier of the requests per second that a region takes.
+	 * @param region the name of the region
+	 * @return the identifier of the limit
+	 */
+	static String ofRegion(String region) {
+		return "region/" + region;
+	}
+
+	/**
+	 * Returns the identifier of the bytes per second from one region to another.
+	 * @param from the name of the region that sends
+	 * @param to the name of the region that receives
+	 * @return the identifier of the limit
+	 */
+	static String ofLink(String from, String to) {
+		return "link/" + from + "/" + to;
+	}
+
+	/**
+	 * Returns the identifier of the requests per second that a planned move shifts.
+	 * @param move the name of the planned move
+	 * @return the identifier of the limit
+	 */
+	static String ofMove(String move) {
+		return "move/" + move;
+	}
+
 	/**
 	 * Takes a configuration into account.
 	 * @param configuration the configuration
@@ -36,6 +64,15 @@
 	 */
 	boolean take(String limit, double tokens, long now);
 
+	/**
+	 * Returns the time until tokens may be there, as far as this entry host knows.
+	 * @param limit the identifier of the limit
+	 * @param tokens the tokens
+	 * @param now the present on the monotonic clock in nanoseconds
+	 * @return the time in nanoseconds, or {@link Long#MAX_VALUE} if no time can be told
+	 */
+	long nanosUntil(String limit, double tokens, long now);
+
 	/**
 	 * Divides every limit into equal shares that never move.
 	 */
@@ -48,11 +85,10 @@
 			double share = 1.0 / Math.max(1, configuration.entryHosts().size());
 			Map<String, TokenBucket> former = Map.copyOf(this.buckets);
 			this.buckets.clear();
-			configuration.organisations().forEach((each) -> {
-				String limit = ofOrganisation(each.name());
-				TokenBucket bucket = former.getOrDefault(limit, new TokenBucket(now));
-				bucket.resize(each.requestsPerSecond() * share, each.burst() * share, now);
-				this.buckets.put(limit, bucket);
+			FleetLimit.of(configuration).forEach((each) -> {
+				TokenBucket bucket = former.getOrDefault(each.identifier(), new TokenBucket(now));
+				bucket.resize(each.rate() * share, each.burst() * share, now);
+				this.buckets.put(each.identifier(), bucket);
 			});
 		}
 
@@ -62,6 +98,12 @@
 			return bucket != null && bucket.take(tokens, now);
 		}
 
+		@Override
+		public long nanosUntil(String limit, double tokens, long now) {
+			TokenBucket bucket = this.buckets.get(limit);
+			return (bucket != null) ? bucket.nanosUntil(tokens, now) : Long.MAX_VALUE;
+		}
+
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/limit/TokenBucket.java
+++ b/masticlane/src/main/java/io/masticlane/limit/TokenBucket.java
@@ -61,6 +61,32 @@
 		return this.level;
 	}
 
+	/**
+	 * Returns the time until tokens are there at the present rate.
+	 * @param tokens the tokens
+	 * @param now the present in nanoseconds
+	 * @return the time in nanoseconds, or {@link Long#MAX_VALUE} if the bucket never
+	 * holds them
+	 */
+	public long nanosUntil(double tokens, long now) {
+		double missing = tokens - level(now);
+		if (missing <= 0) {
+			return 0;
+		}
+		boolean reachable = tokens <= this.burst && this.rate > 0;
+		return reachable ? (long) Math.ceil(missing / this.rate * NANOS_PER_SECOND) : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Adds tokens; those above the burst are lost.
+	 * @param tokens the tokens to add
+	 * @param now the present in nanoseconds
+	 */
+	public void add(double tokens, long now) {
+		refill(now);
+		this.level = Math.min(this.burst, this.level + tokens);
+	}
+
 	private void refill(long now) {
 		long elapsed = now - this.updated;
 		if (elapsed > 0) {
