--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/limit/LoanSender.java
@@ -0,0 +1,18 @@
+package io.masticlane.limit;
+
+import io.masticlane.message.Message;
+
+/**
+ * Sends messages about loans, without any promise that they arrive.
+ */
+@FunctionalInterface
+public interface LoanSender {
+
+	/**
+	 * Sends a message.
+	 * @param host the name of the receiving entry host
+	 * @param message the message
+	 */
+	void send(String host, Message message);
+
+}
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -53,14 +53,14 @@
 				unpacker.skipValue(size - 3);
 				break;
 			case 5:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 9);
 				decoded = LoanRequest.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 9);
 				break;
 			case 6:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 8);
 				decoded = LoanGrant.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 8);
 				break;
 			case 7:
 				MessageFrame.checkSize(tag, size, 4);
@@ -199,22 +199,28 @@
 	/**
 	 * Asks the receiver to lend part of its share of a limit.
 	 *
-	 * @param loan the identifier of the loan, unique within the sender's incarnation
+	 * @param loan the identifier of the loan, never used before by the sender's process
+	 * or a former one
 	 * @param limit the identifier of the limit
 	 * @param revision the configuration revision by which the shares were divided
-	 * @param rate the wanted rate in units per second
-	 * @param burst the wanted burst in units
-	 * @param termMillis the term of the loan in milliseconds
+	 * @param former the identifier of the loan that this one replaces, or zero
+	 * @param demand the sender's demand in units per second
+	 * @param rate the rate that the sender has besides the former loan, in units per
+	 * second
+	 * @param burst the burst that the sender has besides the former loan, in units
+	 * @param termMillis the longest term of the loan in milliseconds
 	 */
-	record LoanRequest(long loan, String limit, long revision, double rate, double burst,
+	record LoanRequest(long loan, String limit, long revision, long former, double demand, double rate, double burst,
 			long termMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(9);
 			packer.packInt(5);
 			packer.packLong(this.loan);
 			packer.packString(this.limit);
 			packer.packLong(this.revision);
+			packer.packLong(this.former);
+			packer.packDouble(this.demand);
 			packer.packDouble(this.rate);
 			packer.packDouble(this.burst);
 			packer.packLong(this.termMillis);
@@ -224,10 +230,12 @@
 			long loan = unpacker.unpackLong();
 			String limit = unpacker.unpackString();
 			long revision = unpacker.unpackLong();
+			long former = unpacker.unpackLong();
+			double demand = unpacker.unpackDouble();
 			double rate = unpacker.unpackDouble();
 			double burst = unpacker.unpackDouble();
 			long termMillis = unpacker.unpackLong();
-			return new LoanRequest(loan, limit, revision, rate, burst, termMillis);
+			return new LoanRequest(loan, limit, revision, former, demand, rate, burst, termMillis);
 		}
 	}
 
@@ -240,12 +248,14 @@
 	 * @param rate the lent rate in units per second
 	 * @param burst the lent burst in units
 	 * @param tokens the tokens handed over at once, at most the lent burst
+	 * @param termMillis the term of the loan in milliseconds, counted by the borrower
+	 * from its request
 	 */
-	record LoanGrant(long loan, String limit, long revision, double rate, double burst,
-			double tokens) implements Message {
+	record LoanGrant(long loan, String limit, long revision, double rate, double burst, double tokens,
+			long termMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(8);
 			packer.packInt(6);
 			packer.packLong(this.loan);
 			packer.packString(this.limit);
@@ -253,6 +263,7 @@
 			packer.packDouble(this.rate);
 			packer.packDouble(this.burst);
 			packer.packDouble(this.tokens);
+			packer.packLong(this.termMillis);
 		}
 
 		private static LoanGrant decodeFields(MessageUnpacker unpacker) throws IOException {
@@ -262,7 +273,8 @@
 			double rate = unpacker.unpackDouble();
 			double burst = unpacker.unpackDouble();
 			double tokens = unpacker.unpackDouble();
-			return new LoanGrant(loan, limit, revision, rate, burst, tokens);
+			long termMillis = unpacker.unpackLong();
+			return new LoanGrant(loan, limit, revision, rate, burst, tokens, termMillis);
 		}
 	}
 
