Use shares of limits under leases in the store

Each entry host's share is a key under its holder's lease. A share is used until the lease can have lapsed, or, while a majority has not heard the store, until the latest dated sign of that; after a gap only a new key gives it back. A living host takes over a vacant share and hands it back to its owner's next process. Peers renew leases for a host that is cut from the store.

A first run of the fleet test failed: the keys were listed before the lease was granted, so one share's key was created without a lease and never lapsed. Keys are created under a lease alone now.

--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -20,7 +21,6 @@
 import io.masticlane.duty.Duty;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
-import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
 import io.masticlane.membership.Members;
 import io.masticlane.message.Message;
@@ -82,6 +82,8 @@
 
 	private final MessageRouter router = new MessageRouter();
 
+	private final FleetLimits fleetLimits;
+
 	private final Steering steering;
 
 	private final Duty decisions;
@@ -104,7 +106,7 @@
 
 	private volatile long storeHeardAt = System.nanoTime();
 
-	private long sequence;
+	private long sequence = ThreadLocalRandom.current().nextLong(Long.MAX_VALUE / 2);
 
 	private long nextHeartbeat = System.nanoTime();
 
@@ -124,10 +126,13 @@
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
 				events);
-		this.steering = new Steering(new Limits.EqualShares(),
+		this.fleetLimits = new FleetLimits(this.self, this.members, store, settings.storePrefix(), executor(),
+				this.network::send, events);
+		this.steering = new Steering(this.fleetLimits.limits(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
+		this.fleetLimits.register(this.router);
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
 				(entry) -> this.decisions.offer(() -> storeHeard(entry.orElse(null))), events);
@@ -181,6 +186,7 @@
 	}
 
 	private void heartbeatHeard(Peer peer, Message.Heartbeat heartbeat) {
+		this.fleetLimits.heard(peer, heartbeat, System.nanoTime());
 		if (this.members.heard(peer, heartbeat, System.nanoTime())) {
 			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
 		}
@@ -201,6 +207,7 @@
 
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
+		this.fleetLimits.configure(table.configuration(), table.revision(), System.nanoTime());
 		this.metrics.revision(table.revision());
 		this.network.dial(peerAddresses(table));
 		table.configuration()
@@ -233,10 +240,12 @@
 		this.inFlight = this.steering.inFlight();
 		if (this.configuration.table() != null) {
 			publishDirectory();
+			this.fleetLimits.tick(now);
 		}
 		if (now - this.nextHeartbeat >= 0) {
 			this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
-			this.network.sendOnEveryConnection(heartbeat(now));
+			Message.Heartbeat heartbeat = heartbeat(now);
+			this.network.sendOnEveryConnection((receiver) -> this.fleetLimits.complete(heartbeat, receiver, now));
 		}
 	}
 
@@ -261,7 +270,7 @@
 		return "{\"host\":\"" + this.self.host() + "\",\"incarnation\":\"" + this.self.incarnation()
 				+ "\",\"revision\":" + this.configuration.revision() + ",\"ready\":" + (this.directory != null)
 				+ ",\"leaving\":" + this.leaving + ",\"inFlight\":" + this.inFlight + ",\"storeAgeMillis\":" + storeAge
-				+ "}\n";
+				+ ",\"shares\":" + this.fleetLimits.held().size() + "}\n";
 	}
 
 	private static void pause(long millis) {
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -55,6 +55,16 @@
 	 */
 	PEER_MALFORMED(4003, Severity.WARNING, "connection {} was closed: {}"),
 
+	/**
+	 * Shares of fleet-wide limits may be used from now on.
+	 */
+	SHARES_BEGUN(5001, Severity.INFORMATION, "the shares of entry hosts {} are used from now on"),
+
+	/**
+	 * Shares of fleet-wide limits may not be used any more.
+	 */
+	SHARES_LOST(5002, Severity.WARNING, "the shares of entry hosts {} are not used any more"),
+
 	/**
 	 * A duty failed on one command and went on.
 	 */
--- a/masticlane/src/main/java/io/masticlane/share/LeasedShares.java
+++ b/masticlane/src/main/java/io/masticlane/share/LeasedShares.java
@@ -114,6 +114,9 @@
 	@Override
 	public void create(String host, long now) {
 		long under = this.lease;
+		if (under == Store.NO_LEASE) {
+			return;
+		}
 		call(HELD + host, now, () -> this.store.compareAndSet(this.prefix + HELD + host, Store.ABSENT, value(), under),
 				(result) -> {
 					if (result.succeeded() && under == this.lease) {
@@ -124,6 +127,9 @@
 
 	@Override
 	public void want(String host) {
+		if (!hasLease()) {
+			return;
+		}
 		call(WANTED + host, this.clock.getAsLong(),
 				() -> this.store.compareAndSet(this.prefix + WANTED + host, Store.ABSENT, value(), this.lease),
 				(result) -> {
