Prove by random schedules that no share is used twice

5 entry hosts with drifting clocks in simulated time: crashes, pauses, cuts from peers and from the store, outages, lost, late and doubled messages and replies, and changes of the set of entry hosts.

A revision is settled only when the store holds no key of a removed host; its holder hands the key back.

--- a/masticlane/src/main/java/io/masticlane/entry/FleetLimits.java
+++ b/masticlane/src/main/java/io/masticlane/entry/FleetLimits.java
@@ -93,7 +93,7 @@
 
 	void tick(long now) {
 		this.keeper.tick(now);
-		if (this.settlement.settled(this.revision,
+		if (this.settlement.settled(this.revision, this.keeper.removedShares(),
 				(host) -> this.members.member(host, now).map((member) -> member.heartbeat().revision()), now)) {
 			this.ledger.settle(this.revision, now);
 		}
--- a/masticlane/src/main/java/io/masticlane/share/Settlement.java
+++ b/masticlane/src/main/java/io/masticlane/share/Settlement.java
@@ -35,18 +35,20 @@
 	/**
 	 * Tells whether the configuration is settled.
 	 * @param revision the revision in force
+	 * @param removedShares whether a share may be in use of an entry host that is not
+	 * configured any more
 	 * @param heard returns the revision of an entry host that is heard
 	 * @param now the present in nanoseconds
 	 * @return whether every entry host goes by it
 	 */
-	public boolean settled(long revision, Function<String, Optional<Long>> heard, long now) {
+	public boolean settled(long revision, boolean removedShares, Function<String, Optional<Long>> heard, long now) {
 		List<Optional<Long>> revisions = this.others.stream().map(heard).toList();
 		boolean behind = revisions.stream().flatMap(Optional::stream).anyMatch((each) -> each < revision);
 		boolean unheard = revisions.stream().anyMatch(Optional::isEmpty);
-		if (behind || (unheard && now - this.inForceSince < UNHEARD_NANOS)) {
+		if (behind || removedShares || (unheard && now - this.inForceSince < UNHEARD_NANOS)) {
 			this.behindAt = now;
 		}
-		return this.others.isEmpty() || now - this.behindAt >= LOANS_NANOS;
+		return (this.others.isEmpty() && !removedShares) || now - this.behindAt >= LOANS_NANOS;
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/share/ShareKeeper.java
+++ b/masticlane/src/main/java/io/masticlane/share/ShareKeeper.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Keeps the shares that this process may use: its own host's, and those it takes over
@@ -44,6 +45,8 @@
 
 	private List<String> hosts = List.of();
 
+	private Optional<Set<String>> heldInStore = Optional.empty();
+
 	private long usableUntil;
 
 	private long leaseUntil;
@@ -162,6 +165,10 @@
 			return;
 		}
 		revise(now);
+		this.heldInStore = Optional.of(keys.stream()
+			.filter((key) -> !key.wanted())
+			.map(ShareStore.Key::host)
+			.collect(Collectors.toUnmodifiableSet()));
 		this.confirmed.clear();
 		keys.stream()
 			.filter((key) -> key.mine() && !key.wanted() && !this.handBacks.containsKey(key.host()))
@@ -169,6 +176,10 @@
 		keys.stream().filter((key) -> !key.mine() && !key.wanted()).forEach((key) -> this.usable.remove(key.host()));
 		revise(now);
 		this.hosts.forEach((host) -> decide(host, keys, sentAt, now));
+		List.copyOf(this.confirmed.keySet())
+			.stream()
+			.filter((host) -> !this.hosts.contains(host))
+			.forEach((host) -> handBack(host, now));
 	}
 
 	/**
@@ -179,6 +190,15 @@
 		return Set.copyOf(this.usable);
 	}
 
+	/**
+	 * Tells whether a share may be in use of an entry host that is not configured any
+	 * more.
+	 * @return whether such a share may be in use
+	 */
+	public boolean removedShares() {
+		return this.heldInStore.map((held) -> !this.hosts.containsAll(held)).orElse(true);
+	}
+
 	private void decide(String host, List<ShareStore.Key> keys, long sentAt, long now) {
 		Optional<ShareStore.Key> holder = keys.stream().filter((key) -> key.holds(host)).findFirst();
 		boolean wanted = keys.stream().anyMatch((key) -> key.wanted() && key.host().equals(host) && !key.mine());
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/share/SimulatedFleet.java
@@ -0,0 +1,392 @@
+package io.masticlane.share;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+import io.masticlane.configuration.Configuration;
+import io.masticlane.configuration.DataCentre;
+import io.masticlane.configuration.EntryHost;
+import io.masticlane.configuration.Link;
+import io.masticlane.configuration.Organisation;
+import io.masticlane.configuration.Region;
+import io.masticlane.limit.ShareLedger;
+import io.masticlane.message.Message;
+import io.masticlane.peer.Peer;
+import io.masticlane.platform.StoreException;
+
+/**
+ * Entry hosts in simulated time: clocks that drift, messages and store calls that are
+ * late, lost or doubled, processes that pause, crash and come back.
+ */
+public final class SimulatedFleet {
+
+	/**
+	 * The length of a step in nanoseconds.
+	 */
+	public static final long STEP = TimeUnit.MILLISECONDS.toNanos(10);
+
+	static final double DRIFT = 0.004;
+
+	private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+	private static final List<String> REGIONS = List.of("west", "north", "delta");
+
+	private final Random random;
+
+	private final List<Host> hosts = new ArrayList<>();
+
+	private final SimulatedStore store = new SimulatedStore();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private long order;
+
+	private long now;
+
+	boolean[][] cut;
+
+	boolean[] cutFromStore;
+
+	boolean storeDown;
+
+	double lossRate;
+
+	double lateRate;
+
+	private final List<Configuration> revisions = new ArrayList<>();
+
+	/**
+	 * Creates a new fleet.
+	 * @param count the number of entry hosts
+	 * @param organisations the organisations
+	 * @param seed the seed of all that is random
+	 */
+	public SimulatedFleet(int count, List<Organisation> organisations, long seed) {
+		this.random = new Random(seed);
+		this.cut = new boolean[count][count];
+		this.cutFromStore = new boolean[count];
+		apply(configuration(count, organisations));
+		IntStream.range(0, count).forEach((index) -> this.hosts.add(new Host(index)));
+	}
+
+	/**
+	 * Returns a configuration of entry hosts in three regions.
+	 * @param count the number of entry hosts
+	 * @param organisations the organisations
+	 * @return the configuration
+	 */
+	public static Configuration configuration(int count, List<Organisation> organisations) {
+		return Configuration.named("simulated")
+			.withRegions(REGIONS.stream().map((region) -> new Region(region, 1e6)).toList())
+			.withDataCentres(REGIONS.stream().map((region) -> new DataCentre(region + "-1", region)).toList())
+			.withLinks(List.of(new Link("west", "north", 300, 35), new Link("north", "delta", 300, 35),
+					new Link("west", "delta", 300, 35)))
+			.withEntryHosts(IntStream.range(0, count)
+				.mapToObj((index) -> new EntryHost("entry-" + index, REGIONS.get(index % 3) + "-1", "127.0.0.1:1",
+						"127.0.0.1:2", "127.0.0.1:3"))
+				.toList())
+			.withOrganisations(organisations);
+	}
+
+	/**
+	 * Writes a configuration to the store.
+	 * @param configuration the configuration
+	 */
+	public void apply(Configuration configuration) {
+		this.revisions.add(configuration);
+	}
+
+	/**
+	 * Goes one step on.
+	 */
+	public void step() {
+		this.now += STEP;
+		this.store.advance(this.now);
+		while (!this.events.isEmpty() && this.events.peek().at() <= this.now) {
+			this.events.poll().action().run();
+		}
+		this.hosts.forEach(Host::step);
+	}
+
+	public long now() {
+		return this.now;
+	}
+
+	public Host host(int index) {
+		return this.hosts.get(index);
+	}
+
+	List<Host> hosts() {
+		return this.hosts;
+	}
+
+	/**
+	 * Kills the process of a host and starts another later.
+	 * @param index the index of the host
+	 * @param downNanos the time until the next process starts
+	 */
+	public void crash(int index, long downNanos) {
+		this.hosts.set(index, new Host(index));
+		this.hosts.get(index).pausedUntil = this.now + downNanos;
+		this.hosts.get(index).fresh = true;
+	}
+
+	private long latency(int from, int to) {
+		boolean late = this.random.nextDouble() < this.lateRate;
+		long usual = (from % 3 == to % 3) ? 1 : 18;
+		return late ? this.random.nextLong(6_000 * MILLI) : usual * MILLI;
+	}
+
+	private void at(long time, Runnable action) {
+		this.events.add(new Event(time, this.order++, action));
+	}
+
+	private boolean lost() {
+		return this.random.nextDouble() < this.lossRate;
+	}
+
+	private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			return (this.at != other.at) ? Long.compare(this.at, other.at) : Long.compare(this.order, other.order);
+		}
+
+	}
+
+	/**
+	 * A process on an entry host.
+	 */
+	public final class Host {
+
+		private final int index;
+
+		private final Peer peer;
+
+		private final long offset = SimulatedFleet.this.random.nextLong(1_000_000 * MILLI);
+
+		private final double speed = 1 + (SimulatedFleet.this.random.nextDouble() - 0.5) * 2 * DRIFT;
+
+		final ShareLedger ledger;
+
+		private StoreQuorum quorum;
+
+		private ShareKeeper keeper;
+
+		private LeasedShares shares;
+
+		private Settlement settlement = new Settlement();
+
+		private final long[] revisions;
+
+		private long revision;
+
+		private long sequence = SimulatedFleet.this.random.nextLong(1L << 40);
+
+		private long nextHeartbeat;
+
+		private boolean fresh = true;
+
+		long pausedUntil;
+
+		private Host(int index) {
+			this.index = index;
+			this.revisions = new long[SimulatedFleet.this.cut.length];
+			this.peer = new Peer("entry-" + index, Long.toString(SimulatedFleet.this.random.nextLong()));
+			this.ledger = new ShareLedger(this.peer.host(), SimulatedFleet.this.random.nextLong(), this::send);
+		}
+
+		private SimulatedFleet fleet() {
+			return SimulatedFleet.this;
+		}
+
+		public long clock() {
+			return this.offset + (long) (SimulatedFleet.this.now * this.speed);
+		}
+
+		public boolean runs() {
+			return this.pausedUntil <= SimulatedFleet.this.now;
+		}
+
+		public ShareLedger ledger() {
+			return this.ledger;
+		}
+
+		public boolean held() {
+			return this.keeper != null && !this.keeper.usable().isEmpty();
+		}
+
+		private void start() {
+			this.fresh = false;
+			this.quorum = new StoreQuorum(clock());
+			this.shares = new LeasedShares(this.peer, SimulatedFleet.this.store.client(new StoreLink(this)), "",
+					Runnable::run, this::clock, this::send, this.quorum);
+			this.keeper = new ShareKeeper(this.peer.host(), this.shares, this.quorum, new ShareKeeper.Listener() {
+				@Override
+				public void hold(Set<String> hosts, long until, long time) {
+					Host.this.ledger.hold(hosts, until, time);
+				}
+
+				@Override
+				public void begun(Set<String> hosts) {
+				}
+
+				@Override
+				public void lost(Set<String> hosts) {
+				}
+			}, clock());
+			this.shares.answerTo(this.keeper);
+		}
+
+		private void configure(long next) {
+			if (next > this.revision) {
+				this.revision = next;
+				Configuration configuration = SimulatedFleet.this.revisions.get((int) next - 1);
+				List<String> names = configuration.entryHosts().stream().map(EntryHost::name).toList();
+				this.ledger.configure(configuration, next, clock());
+				this.keeper.configure(names);
+				this.settlement.configure(names.stream().filter((each) -> !each.equals(this.peer.host())).toList(),
+						clock());
+			}
+		}
+
+		private void step() {
+			if (!runs()) {
+				return;
+			}
+			if (this.fresh) {
+				start();
+			}
+			SimulatedFleet fleet = SimulatedFleet.this;
+			if (fleet.now - this.nextHeartbeat >= 0) {
+				this.nextHeartbeat = fleet.now + 500 * MILLI;
+				this.sequence++;
+				IntStream.range(0, fleet.hosts.size()).filter((each) -> each != this.index).forEach(this::beat);
+				if (!fleet.storeDown && !fleet.cutFromStore[this.index]) {
+					configure(fleet.revisions.size());
+				}
+			}
+			if (fleet.now % (100 * MILLI) == 0 && this.revision > 0) {
+				tick();
+			}
+		}
+
+		private void tick() {
+			long time = clock();
+			this.keeper.tick(time);
+			boolean settled = this.settlement.settled(this.revision, this.keeper.removedShares(), (name) -> {
+				int other = Integer.parseInt(name.substring(6));
+				return this.quorum.fresh(name, time) ? Optional.of(this.revisions[other]) : Optional.empty();
+			}, time);
+			if (settled) {
+				this.ledger.settle(this.revision, time);
+			}
+			this.ledger.tick(time);
+		}
+
+		private void beat(int other) {
+			this.quorum.sent(this.sequence, clock());
+			send("entry-" + other,
+					new Message.Heartbeat(this.sequence, this.quorum.echo(SimulatedFleet.this.hosts.get(other).peer),
+							this.revision, this.quorum.storeAgeMillis(clock()), false, 0));
+		}
+
+		private void send(String host, Message message) {
+			SimulatedFleet fleet = SimulatedFleet.this;
+			int to = Integer.parseInt(host.substring(6));
+			if (fleet.cut[this.index][to] || fleet.lost()) {
+				return;
+			}
+			int copies = (fleet.random.nextDouble() < fleet.lossRate) ? 2 : 1;
+			IntStream.range(0, copies)
+				.forEach((copy) -> fleet.at(fleet.now + fleet.latency(this.index, to), () -> arrive(to, message)));
+		}
+
+		private void arrive(int to, Message message) {
+			Host receiver = SimulatedFleet.this.hosts.get(to);
+			if (!receiver.runs() && !receiver.fresh) {
+				SimulatedFleet.this.at(receiver.pausedUntil, () -> arrive(to, message));
+			}
+			else if (!receiver.fresh) {
+				receiver.hear(this.peer, message);
+			}
+		}
+
+		private void hear(Peer from, Message message) {
+			long time = clock();
+			if (message instanceof Message.Heartbeat heartbeat) {
+				this.quorum.heard(from, heartbeat, time);
+				this.revisions[Integer.parseInt(from.host().substring(6))] = heartbeat.revision();
+				configure(heartbeat.revision());
+			}
+			else if (message instanceof Message.LoanRequest request) {
+				this.ledger.hear(from.host(), request, time);
+			}
+			else if (message instanceof Message.LoanGrant grant) {
+				this.ledger.hear(grant, time);
+			}
+			else if (message instanceof Message.LeaseRelay request) {
+				this.shares.hear(from.host(), request);
+			}
+			else if (message instanceof Message.LeaseRelayed answer) {
+				this.shares.hear(answer);
+			}
+		}
+
+	}
+
+	private record StoreLink(Host host) implements SimulatedStore.Link {
+
+		@Override
+		public <T> void carry(Supplier<T> call, CompletableFuture<T> answer) {
+			SimulatedFleet fleet = this.host.fleet();
+			long arrival = fleet.now + fleet.latency(this.host.index, 0);
+			long timeout = fleet.now + 1_000 * MILLI;
+			boolean reached = !fleet.storeDown && !fleet.cutFromStore[this.host.index] && !fleet.lost();
+			if (reached) {
+				fleet.at(arrival, () -> execute(call, answer));
+			}
+			fleet.at(timeout, () -> deliver(() -> answer.completeExceptionally(new StoreException("timeout", null))));
+		}
+
+		private <T> void execute(Supplier<T> call, CompletableFuture<T> answer) {
+			SimulatedFleet fleet = this.host.fleet();
+			if (fleet.storeDown) {
+				return;
+			}
+			try {
+				T result = call.get();
+				if (!fleet.lost()) {
+					fleet.at(fleet.now + fleet.latency(0, this.host.index),
+							() -> deliver(() -> answer.complete(result)));
+				}
+			}
+			catch (StoreException ex) {
+				fleet.at(fleet.now, () -> deliver(() -> answer.completeExceptionally(ex)));
+			}
+		}
+
+		private void deliver(Runnable completion) {
+			SimulatedFleet fleet = this.host.fleet();
+			if (fleet.hosts.get(this.host.index) != this.host) {
+				return;
+			}
+			if (this.host.runs()) {
+				completion.run();
+			}
+			else {
+				fleet.at(this.host.pausedUntil, () -> deliver(completion));
+			}
+		}
+
+	}
+
+}
