Make the age of the store contact transitive and safe against late heartbeats

Cause: a heartbeat told the sender's own contact alone, counted from the answer rather than from the question, and a new process told a fresh contact that it never had. Change: StoreContact keeps the latest time at which the store was certainly heard, by this host or by a peer. A peer's age counts from the time before which its heartbeat cannot have been sent, the sending of the heartbeat that it echoes, so a message that was under way for long shows no fresh contact.

--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -22,7 +22,9 @@
 import io.masticlane.event.EventLog;
 import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
+import io.masticlane.membership.HeartbeatEchoes;
 import io.masticlane.membership.Members;
+import io.masticlane.membership.StoreContact;
 import io.masticlane.message.Message;
 import io.masticlane.operation.StoreOperations;
 import io.masticlane.operator.Metrics;
@@ -102,9 +104,9 @@
 
 	private volatile int inFlight;
 
-	private volatile long storeHeardAt = System.nanoTime();
+	private final StoreContact storeContact = new StoreContact(System.nanoTime());
 
-	private long sequence;
+	private final HeartbeatEchoes echoes = new HeartbeatEchoes();
 
 	private long nextHeartbeat = System.nanoTime();
 
@@ -130,7 +132,7 @@
 		registerHandlers();
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
-				(entry) -> this.decisions.offer(() -> storeHeard(entry.orElse(null))), events);
+				(entry, askedAt) -> this.decisions.offer(() -> storeHeard(entry.orElse(null), askedAt)), events);
 		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, watch::poll, events);
 		this.peerChannel = this.network.listen(settings.peerAddress());
 		this.network.dial(settings.peers());
@@ -184,6 +186,9 @@
 		if (this.members.heard(peer, heartbeat, System.nanoTime())) {
 			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
 		}
+		this.echoes.heard(peer, heartbeat.sequence());
+		this.echoes.sentNotBefore(heartbeat.echo())
+			.ifPresent((notBefore) -> this.storeContact.told(notBefore, heartbeat.storeAgeMillis()));
 		if (heartbeat.revision() > this.configuration.revision()) {
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.configuration.revision()));
 		}
@@ -221,8 +226,8 @@
 		return Stream.concat(configured, this.settings.peers().stream()).distinct().toList();
 	}
 
-	private void storeHeard(Store.Entry entry) {
-		this.storeHeardAt = System.nanoTime();
+	private void storeHeard(Store.Entry entry, long askedAt) {
+		this.storeContact.answered(askedAt);
 		if (entry != null) {
 			this.configuration.offer(entry.revision(), entry.value(), "the store");
 		}
@@ -236,14 +241,14 @@
 		}
 		if (now - this.nextHeartbeat >= 0) {
 			this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
-			this.network.sendOnEveryConnection(heartbeat(now));
+			long sequence = this.echoes.next(now);
+			this.network.sendOnEveryConnection((peer) -> heartbeat(peer, sequence, now));
 		}
 	}
 
-	private Message.Heartbeat heartbeat(long now) {
-		long storeAge = TimeUnit.NANOSECONDS.toMillis(now - this.storeHeardAt);
-		return new Message.Heartbeat(++this.sequence, 0, this.configuration.revision(), storeAge, this.leaving,
-				this.inFlight);
+	private Message.Heartbeat heartbeat(Peer peer, long sequence, long now) {
+		return new Message.Heartbeat(sequence, this.echoes.echo(peer), this.configuration.revision(),
+				this.storeContact.ageMillis(now), this.leaving, this.inFlight);
 	}
 
 	private void publishDirectory() {
@@ -257,7 +262,7 @@
 	}
 
 	private String status() {
-		long storeAge = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.storeHeardAt);
+		long storeAge = this.storeContact.ageMillis(System.nanoTime());
 		return "{\"host\":\"" + this.self.host() + "\",\"incarnation\":\"" + this.self.incarnation()
 				+ "\",\"revision\":" + this.configuration.revision() + ",\"ready\":" + (this.directory != null)
 				+ ",\"leaving\":" + this.leaving + ",\"inFlight\":" + this.inFlight + ",\"storeAgeMillis\":" + storeAge
--- a/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
+++ b/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
@@ -35,10 +35,11 @@
 			return;
 		}
 		this.waiting = true;
-		this.store.read(this.key).whenComplete(this::answered);
+		long askedAt = System.nanoTime();
+		this.store.read(this.key).whenComplete((entry, failure) -> answered(entry, failure, askedAt));
 	}
 
-	private synchronized void answered(Optional<Store.Entry> entry, Throwable failure) {
+	private synchronized void answered(Optional<Store.Entry> entry, Throwable failure, long askedAt) {
 		this.waiting = false;
 		boolean success = failure == null;
 		if (success != this.heard) {
@@ -51,7 +52,7 @@
 			}
 		}
 		if (success) {
-			this.listener.heard(entry);
+			this.listener.heard(entry, askedAt);
 		}
 	}
 
@@ -64,8 +65,9 @@
 		/**
 		 * Receives an answer.
 		 * @param entry the entry of the configuration, or nothing if there is none
+		 * @param askedAt the time of the question in nanoseconds
 		 */
-		void heard(Optional<Store.Entry> entry);
+		void heard(Optional<Store.Entry> entry, long askedAt);
 
 	}
 
--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.masticlane.event.EventLog;
 import io.masticlane.message.Message;
@@ -117,11 +118,14 @@
 	}
 
 	/**
-	 * Sends a message over every connection.
-	 * @param message the message
+	 * Sends a message over every connection that has room.
+	 * @param message creates the message to each peer
 	 */
-	public void sendOnEveryConnection(Message message) {
-		this.greeted.keySet().stream().filter(Channel::isWritable).forEach((channel) -> write(channel, message));
+	public void sendOnEveryConnection(Function<Peer, Message> message) {
+		this.greeted.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().isWritable())
+			.forEach((entry) -> write(entry.getKey(), message.apply(entry.getValue())));
 	}
 
 	static void write(Channel channel, Message message) {
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/membership/StoreContactTests.java
@@ -0,0 +1,54 @@
+package io.masticlane.membership;
+
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.peer.Peer;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class StoreContactTests {
+
+	private static final Peer PEER = new Peer("entry-2", "first");
+
+	@Test
+	public void aContactThatNeverWasIsOld() {
+		assertEquals(new StoreContact(0).ageMillis(at(10)), StoreContact.NEVER_MILLIS);
+	}
+
+	@Test
+	public void whatAPeerTellsCountsWithTheTimeSinceItWasSent() {
+		StoreContact contact = new StoreContact(0);
+		contact.answered(at(1_000));
+		contact.told(at(5_000), 300);
+		contact.told(at(5_000), 900);
+		assertEquals(contact.ageMillis(at(6_000)), 1_301);
+	}
+
+	@Test
+	public void aHeartbeatThatWasLongUnderWayShowsNoFreshContact() {
+		StoreContact contact = new StoreContact(0);
+		HeartbeatEchoes echoes = new HeartbeatEchoes();
+		long echo = echoes.next(at(0));
+		echoes.next(at(20_000));
+		contact.told(echoes.sentNotBefore(echo).getAsLong(), 0);
+		assertTrue(contact.ageMillis(at(20_000)) > 20_000);
+	}
+
+	@Test
+	public void aHeartbeatOfAnEarlierProcessIsNotEchoed() {
+		HeartbeatEchoes echoes = new HeartbeatEchoes();
+		echoes.heard(PEER, 7);
+		echoes.heard(PEER, 6);
+		assertEquals(echoes.echo(PEER), 7);
+		echoes.heard(new Peer("entry-2", "second"), 1);
+		assertEquals(echoes.echo(PEER), 0);
+		assertTrue(echoes.sentNotBefore(0).isEmpty());
+	}
+
+	private static long at(long millis) {
+		return TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+}
