Watch the store, check the watch by a slow poll, and read documents off the decisions' thread

Cause: each entry host read the whole value every 500 ms, pushed each revision to every other host (42 documents for 7 hosts) and parsed documents on the decisions' thread. A document that arrived broken from one peer blocked the whole one of the same revision, and a rejected revision blocked lower ones that were newer than the one in force. Change: two entry hosts of each region watch; a poll of the key's revision each second finds a silent watch, which is replaced. Others hear by peers: a revision is announced in a heartbeat at once, and each host asks one peer for the document, another one after 1 s. Documents are read on the platform's duty. A rejection counts for those bytes alone.

--- a/masticlane/src/main/java/io/masticlane/demo/StoreStandIn.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StoreStandIn.java
@@ -1,11 +1,14 @@
 package io.masticlane.demo;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +44,14 @@
 		return thread;
 	});
 
+	private final ExecutorService watcherThreads = Executors.newCachedThreadPool((task) -> {
+		Thread thread = new Thread(task, "store-stand-in-watcher");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final Set<Watcher> watchers = ConcurrentHashMap.newKeySet();
+
 	private long revision = 1;
 
 	private long calls;
@@ -65,6 +76,22 @@
 		return this.server.getAddress();
 	}
 
+	/**
+	 * Loses all keys and starts again from the first revision.
+	 */
+	public synchronized void loseData() {
+		this.entries.clear();
+		this.revision = 1;
+	}
+
+	/**
+	 * Returns the watches that are open, among them those whose loss was not noticed.
+	 * @return the number of watches
+	 */
+	public int watches() {
+		return this.watchers.size();
+	}
+
 	/**
 	 * Returns the calls that the store has answered.
 	 * @return the calls that the store has answered
@@ -77,10 +104,15 @@
 	public void close() {
 		this.server.stop(0);
 		this.threads.shutdownNow();
+		this.watcherThreads.shutdownNow();
 	}
 
 	private void handle(HttpExchange exchange) throws IOException {
 		JsonNode body = this.mapper.readTree(exchange.getRequestBody());
+		if (exchange.getRequestURI().getPath().equals("/v3/watch")) {
+			watch(exchange, decode(body.path("create_request").path("key").asText()));
+			return;
+		}
 		ObjectNode answer = answer(exchange.getRequestURI().getPath(), body);
 		byte[] bytes = ((answer != null) ? answer.toString() : "{\"error\":\"unknown method\"}")
 			.getBytes(StandardCharsets.UTF_8);
@@ -90,6 +122,34 @@
 		exchange.close();
 	}
 
+	private void watch(HttpExchange exchange, String key) throws IOException {
+		exchange.sendResponseHeaders(OK, 0);
+		Watcher watcher = new Watcher(key, exchange.getResponseBody());
+		synchronized (this) {
+			this.calls++;
+			this.watchers.add(watcher);
+			ObjectNode created = this.mapper.createObjectNode();
+			created.putObject("result").put("created", true);
+			tell(watcher, created);
+		}
+	}
+
+	private void tell(Watcher watcher, ObjectNode message) {
+		byte[] line = (message + "\n").getBytes(StandardCharsets.UTF_8);
+		this.watcherThreads.execute(() -> {
+			if (!watcher.write(line)) {
+				this.watchers.remove(watcher);
+			}
+		});
+	}
+
+	private void tellWatchers(String key) {
+		ObjectNode message = this.mapper.createObjectNode();
+		ObjectNode found = message.putObject("result").putArray("events").addObject().putObject("kv");
+		describe(found, key, this.entries.get(key));
+		this.watchers.stream().filter((watcher) -> watcher.key().equals(key)).forEach((each) -> tell(each, message));
+	}
+
 	private synchronized ObjectNode answer(String path, JsonNode body) {
 		this.calls++;
 		expireLeases();
@@ -110,12 +170,19 @@
 		ArrayNode found = answer.putArray("kvs");
 		this.entries.subMap(key, true, end, false).forEach((each, entry) -> {
 			ObjectNode node = found.addObject();
-			node.put("key", encode(each)).put("value", entry.value());
-			node.put("mod_revision", Long.toString(entry.revision())).put("lease", Long.toString(entry.lease()));
+			describe(node, each, entry);
+			if (body.path("keys_only").asBoolean()) {
+				node.remove("value");
+			}
 		});
 		return answer.put("count", Integer.toString(found.size()));
 	}
 
+	private static void describe(ObjectNode node, String key, Entry entry) {
+		node.put("key", encode(key)).put("value", entry.value());
+		node.put("mod_revision", Long.toString(entry.revision())).put("lease", Long.toString(entry.lease()));
+	}
+
 	private ObjectNode transaction(JsonNode body) {
 		JsonNode compare = body.path("compare").path(0);
 		Entry present = this.entries.get(decode(compare.path("key").asText()));
@@ -133,8 +200,9 @@
 		if (operation.has("request_put")) {
 			JsonNode put = operation.get("request_put");
 			this.revision++;
-			this.entries.put(decode(put.path("key").asText()),
-					new Entry(this.revision, put.path("value").asText(), put.path("lease").asLong()));
+			String key = decode(put.path("key").asText());
+			this.entries.put(key, new Entry(this.revision, put.path("value").asText(), put.path("lease").asLong()));
+			tellWatchers(key);
 			responses.addObject().putObject("response_put");
 		}
 		else if (operation.has("request_delete_range")) {
@@ -202,6 +270,21 @@
 	private record Entry(long revision, String value, long lease) {
 	}
 
+	private record Watcher(String key, OutputStream output) {
+
+		synchronized boolean write(byte[] line) {
+			try {
+				this.output.write(line);
+				this.output.flush();
+				return true;
+			}
+			catch (IOException ex) {
+				return false;
+			}
+		}
+
+	}
+
 	private record Lease(long seconds, long expires) {
 
 		Lease renewed() {
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -16,13 +16,13 @@
 import io.masticlane.backend.Balancer;
 import io.masticlane.caller.CallerServer;
 import io.masticlane.caller.EntryServices;
-import io.masticlane.configuration.EntryHost;
 import io.masticlane.duty.Duty;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
 import io.masticlane.membership.HeartbeatEchoes;
+import io.masticlane.membership.Member;
 import io.masticlane.membership.Members;
 import io.masticlane.membership.StoreContact;
 import io.masticlane.message.Message;
@@ -56,7 +56,7 @@
 
 	private static final int PLATFORM_CAPACITY = 1_024;
 
-	private static final long PLATFORM_TICK_MILLIS = 500;
+	private static final long PLATFORM_TICK_MILLIS = 250;
 
 	private static final long DECISIONS_TICK_MILLIS = 100;
 
@@ -90,6 +90,10 @@
 
 	private final Duty platform;
 
+	private final StoreWatch watch;
+
+	private final ConfigurationFetch fetch = new ConfigurationFetch();
+
 	private final OperatorServer operators;
 
 	private final Channel callerChannel;
@@ -98,6 +102,8 @@
 
 	private volatile EntryHostDirectory directory;
 
+	private volatile WatchRole watchRole = WatchRole.STARTING;
+
 	private volatile boolean leaving;
 
 	private volatile boolean stopping;
@@ -121,7 +127,7 @@
 		this.events = events;
 		this.self = new Peer(settings.host(), UUID.randomUUID().toString());
 		this.members = new Members(settings.silenceMillis());
-		this.configuration = new ConfigurationState(events, this::inForce);
+		this.configuration = new ConfigurationState(events, this::readApart, this::decide, this::inForce);
 		Store store = new EtcdStore(settings.storeAddress(), Duration.ofMillis(settings.storeTimeoutMillis()),
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
@@ -131,9 +137,9 @@
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
-		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
-				(entry, askedAt) -> this.decisions.offer(() -> storeHeard(entry.orElse(null), askedAt)), events);
-		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, watch::poll, events);
+		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
+				this.configuration::settled, new DecidingStoreListener(), events);
+		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, this.watch::tick, events);
 		this.peerChannel = this.network.listen(settings.peerAddress());
 		this.network.dial(settings.peers());
 		EntryServices services = new EntryServices(this.steering, this.decisions::offer, this.configuration::table,
@@ -169,6 +175,7 @@
 		this.peerChannel.close().syncUninterruptibly();
 		this.operators.close();
 		this.platform.close();
+		this.watch.close();
 		this.decisions.close();
 		this.callerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 		this.peerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -189,7 +196,8 @@
 		this.echoes.heard(peer, heartbeat.sequence());
 		this.echoes.sentNotBefore(heartbeat.echo())
 			.ifPresent((notBefore) -> this.storeContact.told(notBefore, heartbeat.storeAgeMillis()));
-		if (heartbeat.revision() > this.configuration.revision()) {
+		if (this.configuration.wants(heartbeat.revision())
+				&& this.fetch.asks(peer.host(), heartbeat.revision(), System.nanoTime())) {
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.configuration.revision()));
 		}
 	}
@@ -200,6 +208,14 @@
 		}
 	}
 
+	private boolean readApart(Runnable command) {
+		return this.platform.offer(command);
+	}
+
+	private boolean decide(Runnable command) {
+		return this.decisions.offer(command);
+	}
+
 	private Executor executor() {
 		return (command) -> this.decisions.offer(command);
 	}
@@ -208,12 +224,7 @@
 		this.steering.configure(table, System.nanoTime());
 		this.metrics.revision(table.revision());
 		this.network.dial(peerAddresses(table));
-		table.configuration()
-			.entryHosts()
-			.stream()
-			.map(EntryHost::name)
-			.filter((name) -> !name.equals(this.self.host()))
-			.forEach((name) -> this.network.send(name, push));
+		sendHeartbeats(System.nanoTime());
 		publishDirectory();
 	}
 
@@ -226,26 +237,25 @@
 		return Stream.concat(configured, this.settings.peers().stream()).distinct().toList();
 	}
 
-	private void storeHeard(Store.Entry entry, long askedAt) {
-		this.storeContact.answered(askedAt);
-		if (entry != null) {
-			this.configuration.offer(entry.revision(), entry.value(), "the store");
-		}
-	}
-
 	private void tick() {
 		long now = System.nanoTime();
 		this.inFlight = this.steering.inFlight();
 		if (this.configuration.table() != null) {
 			publishDirectory();
 		}
+		this.watchRole = WatchRole.of(this.configuration.table(), this.self.host(),
+				this.members.heard(now).stream().map(Member::host).toList(), this.storeContact.ageMillis(now));
 		if (now - this.nextHeartbeat >= 0) {
-			this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
-			long sequence = this.echoes.next(now);
-			this.network.sendOnEveryConnection((peer) -> heartbeat(peer, sequence, now));
+			sendHeartbeats(now);
 		}
 	}
 
+	private void sendHeartbeats(long now) {
+		this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
+		long sequence = this.echoes.next(now);
+		this.network.sendOnEveryConnection((peer) -> heartbeat(peer, sequence, now));
+	}
+
 	private Message.Heartbeat heartbeat(Peer peer, long sequence, long now) {
 		return new Message.Heartbeat(sequence, this.echoes.echo(peer), this.configuration.revision(),
 				this.storeContact.ageMillis(now), this.leaving, this.inFlight);
@@ -290,6 +300,24 @@
 		};
 	}
 
+	/**
+	 * Hands what the store tells to the decisions' thread.
+	 */
+	private final class DecidingStoreListener implements StoreWatch.Listener {
+
+		@Override
+		public void answered(long askedAt) {
+			EntryDaemon.this.decisions.offer(() -> EntryDaemon.this.storeContact.answered(askedAt));
+		}
+
+		@Override
+		public void written(Store.Entry entry) {
+			EntryDaemon.this.decisions
+				.offer(() -> EntryDaemon.this.configuration.offer(entry.revision(), entry.value(), "the store"));
+		}
+
+	}
+
 	/**
 	 * Hands what peers send to the decisions' thread.
 	 */
--- a/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
+++ b/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
@@ -1,13 +1,16 @@
 package io.masticlane.entry;
 
-import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.platform.Store;
 
 /**
- * Reads the configuration from the store again and again, and notes whether it answers.
+ * Hears the configuration from the store: by a watch, and by a slow poll of the key's
+ * revision, which shows whether the store answers and whether the watch went silent.
  */
 final class StoreWatch {
 
@@ -15,6 +18,10 @@
 
 	private final String key;
 
+	private final Supplier<WatchRole> role;
+
+	private final LongSupplier settled;
+
 	private final Listener listener;
 
 	private final EventLog events;
@@ -23,24 +30,68 @@
 
 	private boolean waiting;
 
-	StoreWatch(Store store, String key, Listener listener, EventLog events) {
+	private long nextPoll = System.nanoTime();
+
+	private Store.Watch watch;
+
+	private long watched;
+
+	private long missed;
+
+	private long reverted;
+
+	/**
+	 * Creates a new watch.
+	 * @param store the store
+	 * @param key the key of the configuration
+	 * @param role the part that this entry host has in watching
+	 * @param settled the revision that is in force or was rejected
+	 * @param listener receives what is heard
+	 * @param events the log of events
+	 */
+	StoreWatch(Store store, String key, Supplier<WatchRole> role, LongSupplier settled, Listener listener,
+			EventLog events) {
 		this.store = store;
 		this.key = key;
+		this.role = role;
+		this.settled = settled;
 		this.listener = listener;
 		this.events = events;
 	}
 
-	synchronized void poll() {
-		if (this.waiting) {
+	synchronized void tick() {
+		WatchRole current = this.role.get();
+		if (!current.watches()) {
+			closeWatch();
+		}
+		long now = System.nanoTime();
+		if (this.waiting || !current.polls() || now - this.nextPoll < 0) {
 			return;
 		}
 		this.waiting = true;
-		long askedAt = System.nanoTime();
-		this.store.read(this.key).whenComplete((entry, failure) -> answered(entry, failure, askedAt));
+		this.nextPoll = now + TimeUnit.MILLISECONDS.toNanos(current.pollMillis());
+		this.store.revision(this.key).whenComplete((revision, failure) -> answered(revision, failure, now));
 	}
 
-	private synchronized void answered(Optional<Store.Entry> entry, Throwable failure, long askedAt) {
+	synchronized void close() {
+		closeWatch();
+	}
+
+	private synchronized void answered(Long revision, Throwable failure, long askedAt) {
 		this.waiting = false;
+		noteContact(failure);
+		if (failure != null) {
+			return;
+		}
+		this.listener.answered(askedAt);
+		noteReverted(revision);
+		replaceSilentWatch(revision);
+		if (revision > this.settled.getAsLong()) {
+			this.store.read(this.key).thenAccept((entry) -> entry.ifPresent(this.listener::written));
+		}
+	}
+
+	private void noteContact(Throwable failure) {
 		boolean success = failure == null;
 		if (success != this.heard) {
 			this.heard = success;
@@ -51,23 +102,99 @@
 				this.events.record(Event.STORE_LOST, failure.getMessage());
 			}
 		}
-		if (success) {
-			this.listener.heard(entry, askedAt);
+	}
+
+	private void noteReverted(long revision) {
+		long settledRevision = this.settled.getAsLong();
+		if (revision >= settledRevision) {
+			this.reverted = -1;
+		}
+		else if (revision != this.reverted) {
+			this.reverted = revision;
+			this.events.record(Event.STORE_REVERTED, revision, settledRevision);
 		}
 	}
 
 	/**
-	 * Receives each answer of the store.
+	 * Opens the watch, and replaces it if it has not told within a whole interval what
+	 * the poll found.
+	 * @param revision the revision that the poll found
+	 */
+	private void replaceSilentWatch(long revision) {
+		if (this.watch != null && this.missed > this.watched) {
+			this.events.record(Event.STORE_WATCH_SILENT, this.missed);
+			closeWatch();
+		}
+		if (this.watch == null) {
+			if (this.role.get().watches()) {
+				openWatch(revision);
+			}
+		}
+		else {
+			this.missed = revision;
+		}
+	}
+
+	private void openWatch(long revision) {
+		this.watched = revision;
+		this.missed = revision;
+		WatchedKey opened = new WatchedKey();
+		opened.self = this.store.watch(this.key, opened);
+		this.watch = opened.over ? null : opened.self;
+	}
+
+	private void closeWatch() {
+		if (this.watch != null) {
+			this.watch.close();
+			this.watch = null;
+		}
+	}
+
+	/**
+	 * Receives what one watch tells.
+	 */
+	private final class WatchedKey implements Store.WatchListener {
+
+		private Store.Watch self;
+
+		private boolean over;
+
+		@Override
+		public void written(Store.Entry entry) {
+			synchronized (StoreWatch.this) {
+				StoreWatch.this.watched = Math.max(StoreWatch.this.watched, entry.revision());
+			}
+			StoreWatch.this.listener.written(entry);
+		}
+
+		@Override
+		public void ended(String reason) {
+			synchronized (StoreWatch.this) {
+				this.over = true;
+				if (StoreWatch.this.watch == this.self) {
+					StoreWatch.this.watch = null;
+				}
+			}
+		}
+
+	}
+
+	/**
+	 * Receives what the store tells.
 	 */
-	@FunctionalInterface
 	interface Listener {
 
 		/**
-		 * Receives an answer.
-		 * @param entry the entry of the configuration, or nothing if there is none
+		 * Receives the fact that the store answered.
 		 * @param askedAt the time of the question in nanoseconds
 		 */
-		void heard(Optional<Store.Entry> entry, long askedAt);
+		void answered(long askedAt);
+
+		/**
+		 * Receives a configuration.
+		 * @param entry the entry of the configuration
+		 */
+		void written(Store.Entry entry);
 
 	}
 
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -40,6 +40,16 @@
 	 */
 	STORE_HEARD(3002, Severity.INFORMATION, "the store answers"),
 
+	/**
+	 * The store holds an older configuration than it did.
+	 */
+	STORE_REVERTED(3003, Severity.ERROR, "the store holds revision {} of the configuration, but {} was heard before"),
+
+	/**
+	 * The watch on the store did not tell of a write.
+	 */
+	STORE_WATCH_SILENT(3004, Severity.WARNING, "the watch on the store did not tell of revision {} and is replaced"),
+
 	/**
 	 * A peer was heard for the first time or again.
 	 */
--- a/masticlane/src/main/java/io/masticlane/platform/EtcdStore.java
+++ b/masticlane/src/main/java/io/masticlane/platform/EtcdStore.java
@@ -58,6 +58,23 @@
 			.thenApply((answer) -> entries(answer).stream().findFirst());
 	}
 
+	@Override
+	public CompletableFuture<Long> revision(String key) {
+		return call("kv/range", MAPPER.createObjectNode().put("key", encode(key)).put("keys_only", true))
+			.thenApply((answer) -> answer.path("kvs").path(0).path("mod_revision").asLong(ABSENT));
+	}
+
+	@Override
+	public Watch watch(String key, WatchListener listener) {
+		ObjectNode body = MAPPER.createObjectNode();
+		body.putObject("create_request").put("key", encode(key));
+		EtcdWatch watch = new EtcdWatch(listener);
+		this.client.sendAsync(request("watch", body), HttpResponse.BodyHandlers.fromLineSubscriber(watch))
+			.whenComplete(
+					(response, failure) -> watch.answered((response != null) ? response.statusCode() : 0, failure));
+		return watch;
+	}
+
 	@Override
 	public CompletableFuture<List<Entry>> list(String prefix) {
 		ObjectNode body = MAPPER.createObjectNode().put("key", encode(prefix)).put("range_end", encode(end(prefix)));
@@ -100,14 +117,17 @@
 	}
 
 	private CompletableFuture<JsonNode> call(String method, ObjectNode body) {
-		HttpRequest request = HttpRequest.newBuilder(URI.create(this.base + method))
+		return this.client.sendAsync(request(method, body), HttpResponse.BodyHandlers.ofByteArray())
+			.orTimeout(this.timeout.toMillis(), TimeUnit.MILLISECONDS)
+			.handle((response, failure) -> answer(method, response, failure));
+	}
+
+	private HttpRequest request(String method, ObjectNode body) {
+		return HttpRequest.newBuilder(URI.create(this.base + method))
 			.timeout(this.timeout)
 			.header("Content-Type", "application/json")
 			.POST(HttpRequest.BodyPublishers.ofString(body.toString()))
 			.build();
-		return this.client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
-			.orTimeout(this.timeout.toMillis(), TimeUnit.MILLISECONDS)
-			.handle((response, failure) -> answer(method, response, failure));
 	}
 
 	private static JsonNode answer(String method, HttpResponse<byte[]> response, Throwable failure) {
@@ -143,10 +163,12 @@
 	}
 
 	private static List<Entry> entries(JsonNode answer) {
-		return StreamSupport.stream(answer.path("kvs").spliterator(), false)
-			.map((each) -> new Entry(decode(each.path("key").asText()), each.path("mod_revision").asLong(),
-					Base64.getDecoder().decode(each.path("value").asText())))
-			.toList();
+		return StreamSupport.stream(answer.path("kvs").spliterator(), false).map(EtcdStore::entry).toList();
+	}
+
+	static Entry entry(JsonNode found) {
+		return new Entry(decode(found.path("key").asText()), found.path("mod_revision").asLong(),
+				Base64.getDecoder().decode(found.path("value").asText()));
 	}
 
 	private static String end(String prefix) {
--- a/masticlane/src/main/java/io/masticlane/platform/Store.java
+++ b/masticlane/src/main/java/io/masticlane/platform/Store.java
@@ -27,6 +27,22 @@
 	 */
 	CompletableFuture<Optional<Entry>> read(String key);
 
+	/**
+	 * Reads the revision of a key alone.
+	 * @param key the key
+	 * @return the revision of the last write to the key, or {@link #ABSENT}
+	 */
+	CompletableFuture<Long> revision(String key);
+
+	/**
+	 * Watches a key from now on. A watch may go silent, so its owner compares
+	 * {@link #revision(String)} now and then.
+	 * @param key the key
+	 * @param listener receives the writes to the key
+	 * @return the watch
+	 */
+	Watch watch(String key, WatchListener listener);
+
 	/**
 	 * Lists the entries of all keys with a prefix.
 	 * @param prefix the prefix
@@ -92,4 +108,33 @@
 	record WriteResult(boolean succeeded, long revision) {
 	}
 
+	/**
+	 * A watch that is open until it is closed or ends.
+	 */
+	interface Watch extends AutoCloseable {
+
+		@Override
+		void close();
+
+	}
+
+	/**
+	 * Receives what a watch sees.
+	 */
+	interface WatchListener {
+
+		/**
+		 * Receives a write to the key.
+		 * @param entry the entry as written
+		 */
+		void written(Entry entry);
+
+		/**
+		 * Receives the end of the watch, unless its owner closed it.
+		 * @param reason why the watch ended
+		 */
+		void ended(String reason);
+
+	}
+
 }
