--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -5,16 +5,20 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.masticlane.backend.BackendConnections;
+import io.masticlane.route.RoutingTable;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
 
 /**
  * Listens for callers.
@@ -31,6 +35,8 @@
 
 	private final int maximumBodyBytes;
 
+	private final ChannelGroup callers = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
 	private final Map<EventLoop, BackendConnections> connections = new ConcurrentHashMap<>();
 
 	/**
@@ -67,7 +73,18 @@
 			.channel();
 	}
 
+	/**
+	 * Tells every caller's connection that a routing table came into force, so that
+	 * answers for withdrawn keys end.
+	 * @param table the routing table, which is published already
+	 */
+	public void configured(RoutingTable table) {
+		this.callers
+			.forEach((channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(table)));
+	}
+
 	private void initialize(SocketChannel channel) {
+		this.callers.add(channel);
 		BackendConnections pool = this.connections.computeIfAbsent(channel.eventLoop(), BackendConnections::new);
 		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 			.setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -123,6 +123,30 @@
 		}
 	}
 
+	/**
+	 * Ends the request if its key is no longer granted. An operation that may have run
+	 * goes on until its answer begins, so that its caller learns the result.
+	 * @param table the routing table that came into force
+	 */
+	void keysChanged(RoutingTable table) {
+		boolean granted = this.organisation.isEmpty()
+				|| bearer(this.request.headers().get(HttpHeaderNames.AUTHORIZATION, "")).flatMap(table::organisation)
+					.filter((found) -> found.name().equals(this.organisation))
+					.isPresent();
+		boolean kept = this.attempt != null && !this.answering && !this.match.route().idempotent();
+		if (this.done || granted || kept) {
+			return;
+		}
+		if (this.answering) {
+			abort(AttemptEnd.ABANDONED);
+		}
+		else {
+			cancelAttempt();
+			finishWith(Refusal.of(ErrorKind.KEY_REFUSED).withOutcome(Outcome.UNKNOWN));
+			tell(AttemptEnd.ABANDONED);
+		}
+	}
+
 	private Optional<ErrorKind> check() {
 		RoutingTable table = this.services.table().get();
 		if (this.services.stopping().getAsBoolean()) {
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -7,6 +7,7 @@
 import io.masticlane.backend.BackendConnections;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Refusal;
+import io.masticlane.route.RoutingTable;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -71,6 +72,13 @@
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof RoutingTable table && this.current != null) {
+			this.current.keysChanged(table);
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		context.close();
--- a/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
+++ b/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
@@ -18,9 +18,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -31,6 +34,13 @@
  */
 public final class BackendStandIn implements AutoCloseable {
 
+	private static final long STREAM_MILLIS = 50;
+
+	/**
+	 * The end of a path whose answer has no end.
+	 */
+	private static final String STREAM_SUFFIX = "/stream";
+
 	private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
 	private final String name;
@@ -137,11 +147,31 @@
 			BackendStandIn server = BackendStandIn.this;
 			server.running.decrementAndGet();
 			String organisation = request.headers().get("Masticlane-Organisation", "");
+			if (request.uri().endsWith(STREAM_SUFFIX)) {
+				stream(context, request);
+				request.release();
+				return;
+			}
 			answer(context, request, HttpResponseStatus.OK,
 					server.name + " " + organisation + " " + request.uri() + "\n", "run");
 			request.release();
 		}
 
+		private void stream(ChannelHandlerContext context, FullHttpRequest request) {
+			HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+			head.headers().set("Transfer-Encoding", "chunked");
+			head.headers().set("Masticlane-Request-Id", request.headers().get("Masticlane-Request-Id", ""));
+			context.writeAndFlush(head);
+			streamOn(context);
+		}
+
+		private void streamOn(ChannelHandlerContext context) {
+			if (context.channel().isActive()) {
+				context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer("row\n", StandardCharsets.UTF_8)));
+				context.executor().schedule(() -> streamOn(context), STREAM_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}
+
 		private void answer(ChannelHandlerContext context, FullHttpRequest request, HttpResponseStatus status,
 				String text, String outcome) {
 			byte[] body = text.getBytes(StandardCharsets.UTF_8);
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -96,6 +96,8 @@
 
 	private final OperatorServer operators;
 
+	private final CallerServer callers;
+
 	private final Channel callerChannel;
 
 	private final Channel peerChannel;
@@ -136,16 +138,16 @@
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
+		EntryServices services = new EntryServices(this.steering, this::decide, this.configuration::table,
+				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
+		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
 				this.configuration::settled, new DecidingStoreListener(), events);
 		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, this.watch::tick, events);
 		this.peerChannel = this.network.listen(settings.peerAddress());
 		this.network.dial(settings.peers());
-		EntryServices services = new EntryServices(this.steering, this.decisions::offer, this.configuration::table,
-				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
-		this.callerChannel = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes())
-			.listen(settings.callerAddress());
+		this.callerChannel = this.callers.listen(settings.callerAddress());
 		this.operators = new OperatorServer(settings.operatorAddress(), this.metrics,
 				() -> this.directory != null && !this.leaving, this::status);
 		events.record(Event.ENTRY_STARTED, settings.host(), this.self.incarnation());
@@ -223,6 +225,7 @@
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
 		this.metrics.revision(table.revision());
+		this.callers.configured(table);
 		this.network.dial(peerAddresses(table));
 		sendHeartbeats(System.nanoTime());
 		publishDirectory();
