Find a look-up's region by its client block

Look-ups answered every caller with the local region's order, because the directory was given no client blocks.

It is now rendered only when the table or what is heard of the hosts changed.

--- a/configuration/src/main/java/io/masticlane/configuration/ConfigurationReferences.java
+++ b/configuration/src/main/java/io/masticlane/configuration/ConfigurationReferences.java
@@ -22,6 +22,7 @@
 		Check.unique("services.name", configuration.services(), Service::name);
 		Check.unique("backendServers.name", configuration.backendServers(), BackendServer::name);
 		Check.unique("plannedMoves.name", configuration.plannedMoves(), PlannedMove::name);
+		Check.unique("clientBlocks.network", configuration.clientBlocks(), ClientBlock::network);
 		Check.unique("organisations.keys.identifier",
 				configuration.organisations().stream().flatMap((each) -> each.keys().stream()).toList(),
 				HashedKey::identifier);
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -252,8 +252,11 @@
 				this.inFlight, this.leaving);
 		List<EntryHostDirectory.HeardHost> hosts = EntryHostDirectory.heardHosts(table.configuration(), own,
 				this.members.heard(System.nanoTime()));
-		this.directory = EntryHostDirectory.of(table, hosts, table.region(this.settings.dataCentre()),
-				this.settings.lookUpTtlMillis(), (client) -> "");
+		EntryHostDirectory present = this.directory;
+		if (present == null || !present.shows(table, hosts)) {
+			this.directory = EntryHostDirectory.of(table, hosts, table.region(this.settings.dataCentre()),
+					this.settings.lookUpTtlMillis());
+		}
 	}
 
 	private String status() {
--- a/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -21,16 +21,20 @@
  */
 public final class EntryHostDirectory implements LookUps {
 
+	private final RoutingTable table;
+
+	private final List<HeardHost> hosts;
+
 	private final byte[] fallback;
 
 	private final Map<String, byte[]> answers;
 
-	private final Function<InetAddress, String> regions;
-
-	private EntryHostDirectory(byte[] fallback, Map<String, byte[]> answers, Function<InetAddress, String> regions) {
+	private EntryHostDirectory(RoutingTable table, List<HeardHost> hosts, byte[] fallback,
+			Map<String, byte[]> answers) {
+		this.table = table;
+		this.hosts = hosts;
 		this.fallback = fallback;
 		this.answers = answers;
-		this.regions = regions;
 	}
 
 	/**
@@ -39,16 +43,24 @@
 	 * @param hosts the entry hosts that are heard
 	 * @param localRegion the region of callers whose block is not known
 	 * @param ttlMillis the time to live of an answer
-	 * @param regions finds the region of a client, or an empty text
 	 * @return the directory
 	 */
-	public static EntryHostDirectory of(RoutingTable table, List<HeardHost> hosts, String localRegion, long ttlMillis,
-			Function<InetAddress, String> regions) {
+	public static EntryHostDirectory of(RoutingTable table, List<HeardHost> hosts, String localRegion, long ttlMillis) {
 		Set<String> names = table.configuration().regions().stream().map(Region::name).collect(Collectors.toSet());
 		Map<String, byte[]> answers = names.stream()
 			.collect(Collectors.toUnmodifiableMap(Function.identity(),
 					(region) -> render(table, hosts, region, ttlMillis)));
-		return new EntryHostDirectory(render(table, hosts, localRegion, ttlMillis), answers, regions);
+		return new EntryHostDirectory(table, hosts, render(table, hosts, localRegion, ttlMillis), answers);
+	}
+
+	/**
+	 * Tells whether this directory was rendered from the given state.
+	 * @param table the routing table in force
+	 * @param hosts the entry hosts that are heard
+	 * @return whether rendering again would give the same answers
+	 */
+	public boolean shows(RoutingTable table, List<HeardHost> hosts) {
+		return this.table == table && this.hosts.equals(hosts);
 	}
 
 	/**
@@ -73,7 +85,7 @@
 
 	@Override
 	public byte[] answer(InetAddress client) {
-		return this.answers.getOrDefault(this.regions.apply(client), this.fallback);
+		return this.answers.getOrDefault(this.table.clientBlocks().region(client), this.fallback);
 	}
 
 	private static byte[] render(RoutingTable table, List<HeardHost> hosts, String region, long ttlMillis) {
--- a/masticlane/src/main/java/io/masticlane/route/RoutingTable.java
+++ b/masticlane/src/main/java/io/masticlane/route/RoutingTable.java
@@ -32,6 +32,8 @@
 
 	private final Map<String, String> regions;
 
+	private final ClientBlockTable clientBlocks;
+
 	private RoutingTable(long revision, Configuration configuration) {
 		this.revision = revision;
 		this.configuration = configuration;
@@ -50,6 +52,7 @@
 		this.regions = configuration.dataCentres()
 			.stream()
 			.collect(Collectors.toUnmodifiableMap(DataCentre::name, DataCentre::region));
+		this.clientBlocks = ClientBlockTable.of(configuration.clientBlocks());
 	}
 
 	/**
@@ -121,6 +124,14 @@
 		return this.regions.getOrDefault(dataCentre, "");
 	}
 
+	/**
+	 * Returns the regions of client blocks.
+	 * @return the regions of client blocks
+	 */
+	public ClientBlockTable clientBlocks() {
+		return this.clientBlocks;
+	}
+
 	/**
 	 * A route and the service that it leads to.
 	 *
