Add the benchmark of one entry host

It measures what the entry host adds to a request at a steady rate, corrected for coordinated omission, and the look-ups it answers. The stand-ins, the entry host and the load client are processes of their own, started by a script: a process of masticlane starts no other.

--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/command/BenchCommand.java
@@ -0,0 +1,58 @@
+package io.masticlane.command;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.bench.BenchDeployment;
+import io.masticlane.bench.LoadBenchmark;
+
+/**
+ * Runs one part of the benchmarks.
+ */
+final class BenchCommand implements Command {
+
+	private static final long DEFAULT_RATE = 2_000;
+
+	private static final long DEFAULT_SECONDS = 5;
+
+	@Override
+	public String name() {
+		return "bench";
+	}
+
+	@Override
+	public String summary() {
+		return "Runs a part of the benchmarks: platform, requests, look-ups.";
+	}
+
+	@Override
+	public ExitStatus run(List<String> arguments, PrintStream output) throws Exception {
+		Arguments parsed = Arguments.parse(arguments, (parser) -> {
+			parser.accepts("rate", "The requests per second.").withRequiredArg().describedAs("number");
+			parser.accepts("seconds", "The duration of each round.").withRequiredArg().describedAs("number");
+		});
+		if (parsed.helped(output, this, "[--rate NUMBER] [--seconds NUMBER] PART")) {
+			return ExitStatus.SUCCESS;
+		}
+		String part = parsed.argument("platform, requests or look-ups");
+		LoadBenchmark load = new LoadBenchmark(output,
+				TimeUnit.SECONDS.toMillis(parsed.number("seconds", DEFAULT_SECONDS)));
+		boolean right = switch (part) {
+			case "platform" -> platform();
+			case "requests" -> load.requests(parsed.number("rate", DEFAULT_RATE));
+			case "look-ups" -> load.lookUps();
+			default -> throw new UsageException("got '" + part + "', expected platform, requests or look-ups");
+		};
+		return right ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
+	}
+
+	private static boolean platform() throws Exception {
+		try (BenchDeployment deployment = new BenchDeployment()) {
+			new CountDownLatch(1).await();
+		}
+		return true;
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/command/Main.java
+++ b/masticlane/src/main/java/io/masticlane/command/Main.java
@@ -13,7 +13,7 @@
 public final class Main {
 
 	private static final List<Command> COMMANDS = List.of(new EntryCommand(), new ApplyCommand(), new PlanCommand(),
-			new ShowCommand(), new DemoCommand());
+			new ShowCommand(), new DemoCommand(), new BenchCommand());
 
 	private Main() {
 	}
