--- a/masticlane/src/main/java/io/masticlane/backend/AnswerReceiver.java
+++ b/masticlane/src/main/java/io/masticlane/backend/AnswerReceiver.java
@@ -11,10 +11,12 @@
 public interface AnswerReceiver {
 
 	/**
-	 * Receives the connection on which the request was sent.
+	 * Receives the connection on which the request is about to be sent.
 	 * @param connection the connection
+	 * @param reused whether the connection carried requests before
+	 * @return whether the request is still to be sent
 	 */
-	void sent(Channel connection);
+	boolean sending(Channel connection, boolean reused);
 
 	/**
 	 * Receives the head of the answer.
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/caller/AnswerRecorder.java
@@ -0,0 +1,96 @@
+package io.masticlane.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.masticlane.operation.RecordedAnswer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Keeps a copy of an answer while it is carried.
+ */
+interface AnswerRecorder {
+
+	/**
+	 * Copies the head of the answer.
+	 * @param head the head of the answer
+	 */
+	void head(HttpResponse head);
+
+	/**
+	 * Copies a part of the answer's body.
+	 * @param part the part of the body
+	 */
+	void content(ByteBuf part);
+
+	/**
+	 * Returns the whole answer.
+	 * @return the whole answer, or nothing if it was too large
+	 */
+	Optional<RecordedAnswer> recorded();
+
+	/**
+	 * Keeps answers that are small enough.
+	 */
+	final class Bounded implements AnswerRecorder {
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		private List<Map.Entry<String, String>> headers = List.of();
+
+		private boolean tooLarge;
+
+		@Override
+		public void head(HttpResponse head) {
+			this.status = head.status().code();
+			this.headers = List.copyOf(head.headers().entries());
+		}
+
+		@Override
+		public void content(ByteBuf part) {
+			this.tooLarge |= this.body.size() + part.readableBytes() > RecordedAnswer.MAXIMUM_BODY_BYTES;
+			if (!this.tooLarge) {
+				this.body.writeBytes(ByteBufUtil.getBytes(part));
+			}
+		}
+
+		@Override
+		public Optional<RecordedAnswer> recorded() {
+			return this.tooLarge ? Optional.empty()
+					: Optional.of(new RecordedAnswer(this.status, this.headers, this.body.toByteArray()));
+		}
+
+	}
+
+	/**
+	 * Keeps nothing.
+	 */
+	enum NoOp implements AnswerRecorder {
+
+		/**
+		 * The only instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public void head(HttpResponse head) {
+		}
+
+		@Override
+		public void content(ByteBuf part) {
+		}
+
+		@Override
+		public Optional<RecordedAnswer> recorded() {
+			return Optional.empty();
+		}
+
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/caller/Answers.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Answers.java
@@ -3,12 +3,17 @@
 import java.nio.charset.StandardCharsets;
 
 import io.masticlane.failure.Refusal;
+import io.masticlane.operation.RecordedAnswer;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 /**
@@ -47,4 +52,38 @@
 		return response;
 	}
 
+	static FullHttpResponse replay(RecordedAnswer answer, boolean keepAlive) {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(answer.body()));
+		answer.headers().forEach((header) -> response.headers().add(header.getKey(), header.getValue()));
+		response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+		if (response.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
+			response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+		}
+		HttpUtil.setKeepAlive(response, keepAlive);
+		return response;
+	}
+
+	/**
+	 * Sets how a caller finds the end of an answer from a backend server.
+	 * @param head the head of the answer
+	 * @param request the caller's request
+	 * @param keepAlive whether the caller keeps its connection
+	 * @return whether the end of the connection is the end of the answer
+	 */
+	static boolean frame(HttpResponse head, HttpRequest request, boolean keepAlive) {
+		boolean chunked = HttpUtil.isTransferEncodingChunked(head);
+		boolean bodiless = request.method().equals(HttpMethod.HEAD)
+				|| head.status().equals(HttpResponseStatus.NO_CONTENT)
+				|| head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+		boolean ancient = !request.protocolVersion().isKeepAliveDefault();
+		boolean closing = !bodiless && (chunked ? ancient : !HttpUtil.isContentLengthSet(head));
+		if (chunked && ancient) {
+			head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+		}
+		head.setProtocolVersion(HttpVersion.HTTP_1_1);
+		HttpUtil.setKeepAlive(head, keepAlive && !closing);
+		return closing;
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -1,7 +1,5 @@
 package io.masticlane.caller;
 
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -9,12 +7,10 @@
 import io.masticlane.backend.AnswerReceiver;
 import io.masticlane.backend.BackendConnections;
 import io.masticlane.configuration.BackendServer;
-import io.masticlane.configuration.Organisation;
-import io.masticlane.configuration.Route;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Outcome;
 import io.masticlane.failure.Refusal;
-import io.masticlane.route.RoutingTable;
+import io.masticlane.operation.RecordedAnswer;
 import io.masticlane.steering.Arrival;
 import io.masticlane.steering.AttemptEnd;
 import io.masticlane.steering.Carrier;
@@ -23,6 +19,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -40,6 +37,18 @@
 
 	private static final long OFFER_AGAIN_MILLIS = 1;
 
+	/**
+	 * The longest time to wait for the first bytes of an answer on a connection that was
+	 * used before, in nanoseconds, when the request may run again.
+	 */
+	private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * The longest time for which a connection that carries an operation may have been
+	 * idle, in nanoseconds.
+	 */
+	private static final long OPERATION_IDLE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final RequestHandler handler;
 
 	private final ChannelHandlerContext context;
@@ -54,18 +63,20 @@
 
 	private final long started = System.nanoTime();
 
-	private long deadline;
-
-	private RoutingTable.Match match;
+	private final RequestCheck check;
 
-	private String organisation = "";
+	private long deadline;
 
 	private ScheduledFuture<?> timeout;
 
 	private Attempt attempt;
 
+	private boolean lostOne;
+
 	private boolean answering;
 
+	private boolean expired;
+
 	private boolean done;
 
 	/**
@@ -81,21 +92,23 @@
 		this.services = services;
 		this.connections = connections;
 		this.keepAlive = HttpUtil.isKeepAlive(request);
+		this.check = RequestCheck.of(request, services);
 	}
 
 	void begin() {
-		Optional<ErrorKind> problem = check();
-		if (problem.isPresent()) {
-			finishWith(Refusal.of(problem.get()));
+		if (this.check.problem().isPresent()) {
+			refuseUnclaimed(this.check.problem().get());
 			return;
 		}
-		long millis = TimeUnit.NANOSECONDS.toMillis(this.deadline - this.started);
-		this.timeout = this.context.executor().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
-		Arrival arrival = new Arrival(this.organisation, this.match, operation().orElse(""), this.deadline, this);
+		this.deadline = this.started + this.check.allowedNanos();
+		this.timeout = this.context.executor()
+			.schedule(this::timedOut, this.check.allowedNanos(), TimeUnit.NANOSECONDS);
+		Arrival arrival = new Arrival(this.check.organisation(), this.check.match(), this.check.operation(),
+				this.deadline, this);
 		boolean accepted = this.services.decisions()
 			.test(() -> this.flight = this.services.steering().arrive(arrival, System.nanoTime()));
 		if (!accepted) {
-			finishWith(Refusal.of(ErrorKind.SATURATED));
+			refuseUnclaimed(ErrorKind.SATURATED);
 		}
 	}
 
@@ -109,6 +122,11 @@
 		this.context.executor().execute(() -> finishWith(refusal));
 	}
 
+	@Override
+	public void replay(RecordedAnswer answer) {
+		this.context.executor().execute(() -> finishWith("replayed", Answers.replay(answer, this.keepAlive)));
+	}
+
 	void callerWritable(boolean writable) {
 		if (this.attempt != null && this.attempt.connection != null) {
 			this.attempt.connection.config().setAutoRead(writable);
@@ -118,131 +136,102 @@
 	void callerGone() {
 		if (!this.done) {
 			finish("abandoned");
-			cancelAttempt();
-			tell(AttemptEnd.ABANDONED);
+			tell(cancelAttempt() ? AttemptEnd.ABANDONED : AttemptEnd.WITHDRAWN);
 		}
 	}
 
-	private Optional<ErrorKind> check() {
-		RoutingTable table = this.services.table().get();
-		if (this.services.stopping().getAsBoolean()) {
-			return Optional.of(ErrorKind.SHUTTING_DOWN);
-		}
-		if (table == null) {
-			return Optional.of(ErrorKind.NOT_READY);
-		}
-		String uri = this.request.uri();
-		int query = uri.indexOf('?');
-		Optional<RoutingTable.Match> found = table.match(this.request.method().name(),
-				(query >= 0) ? uri.substring(0, query) : uri);
-		if (found.isEmpty()) {
-			return Optional.of(ErrorKind.NO_ROUTE);
-		}
-		this.match = found.get();
-		this.deadline = this.started + TimeUnit.MILLISECONDS.toNanos(allowedMillis());
-		return checkKeys(table);
-	}
-
-	private Optional<ErrorKind> checkKeys(RoutingTable table) {
-		Route route = this.match.route();
-		if (route.access() == Route.Access.KEYED) {
-			List<String> presented = this.request.headers().getAll(HttpHeaderNames.AUTHORIZATION);
-			if (presented.isEmpty()) {
-				return Optional.of(ErrorKind.KEY_MISSING);
-			}
-			Optional<Organisation> found = (presented.size() == 1)
-					? bearer(presented.get(0)).flatMap(table::organisation) : Optional.empty();
-			if (found.isEmpty()) {
-				return Optional.of(ErrorKind.KEY_REFUSED);
-			}
-			this.organisation = found.get().name();
-		}
-		return (route.idempotent() || operation().isPresent()) ? Optional.empty()
-				: Optional.of(ErrorKind.OPERATION_KEY_MISSING);
-	}
-
-	private static Optional<String> bearer(String value) {
-		String scheme = "Bearer ";
-		return value.regionMatches(true, 0, scheme, 0, scheme.length())
-				? Optional.of(value.substring(scheme.length()).trim()) : Optional.empty();
-	}
-
-	private Optional<String> operation() {
-		List<String> values = this.request.headers().getAll(Headers.IDEMPOTENCY_KEY);
-		return (values.size() == 1) ? Optional.of(values.get(0)).filter((value) -> value.matches("[!-~]{1,200}"))
-				: Optional.empty();
+	/**
+	 * Refuses a request before the decision core saw it: an earlier attempt at an
+	 * operation cannot be known here.
+	 * @param kind the error kind
+	 */
+	private void refuseUnclaimed(ErrorKind kind) {
+		Refusal refusal = Refusal.of(kind);
+		finishWith(RequestCheck.namesOperation(this.request) ? refusal.withOutcome(Outcome.UNKNOWN) : refusal);
 	}
 
-	private long allowedMillis() {
-		int ofRoute = this.match.route().deadlineMillis();
-		String stated = this.request.headers().get(Headers.DEADLINE_MILLIS, "");
-		return stated.matches("[0-9]{1,9}") ? Math.min(ofRoute, Long.parseLong(stated)) : ofRoute;
+	private boolean idempotent() {
+		return this.check.match().route().idempotent();
 	}
 
 	private void send(BackendServer server) {
-		if (this.done) {
-			tell(AttemptEnd.NOT_SENT);
+		if (this.done || this.expired) {
 			return;
 		}
-		this.attempt = new Attempt();
-		this.connections.send(server, outbound(server), this.attempt);
+		this.attempt = new Attempt(server);
+		long idle = idempotent() ? BackendConnections.MAXIMUM_IDLE_NANOS : OPERATION_IDLE_NANOS;
+		this.connections.send(server, outbound(server), this.lostOne ? 0 : idle, this.attempt);
 	}
 
 	private FullHttpRequest outbound(BackendServer server) {
 		FullHttpRequest outbound = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.method(),
 				this.request.uri(), this.request.content().retainedDuplicate());
 		Headers.copyForwarded(this.request.headers(), outbound.headers());
-		long left = TimeUnit.NANOSECONDS.toMillis(this.deadline - System.nanoTime());
 		outbound.headers()
 			.set(HttpHeaderNames.HOST, server.address())
 			.set(HttpHeaderNames.CONTENT_LENGTH, this.request.content().readableBytes())
-			.set(Headers.DEADLINE_MILLIS, Math.max(1, left))
+			.set(Headers.DEADLINE_MILLIS, Math.max(1, TimeUnit.NANOSECONDS.toMillis(left())))
 			.set(Headers.REQUEST_ID, this.attempt.requestId);
-		if (!this.organisation.isEmpty()) {
-			outbound.headers().set(Headers.ORGANISATION, this.organisation);
+		if (!this.check.organisation().isEmpty()) {
+			outbound.headers().set(Headers.ORGANISATION, this.check.organisation());
 		}
 		return outbound;
 	}
 
+	private long left() {
+		return this.deadline - System.nanoTime();
+	}
+
 	private void timedOut() {
-		if (this.done) {
-			return;
-		}
-		if (this.attempt == null) {
-			finishWith(Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
-			tell(AttemptEnd.ABANDONED);
-		}
-		else {
-			abort(AttemptEnd.TIMED_OUT);
+		if (!this.done) {
+			this.expired = true;
+			end(cancelAttempt() ? AttemptEnd.TIMED_OUT : AttemptEnd.WITHDRAWN);
 		}
 	}
 
-	private void abort(AttemptEnd end) {
-		cancelAttempt();
+	/**
+	 * Ends an attempt without a whole answer. An answer that has begun is cut, so that
+	 * the caller sees it as truncated.
+	 * @param end how the attempt ended
+	 */
+	private void end(AttemptEnd end) {
 		if (this.answering) {
 			finish("cut");
 			this.context.close();
 			tell(AttemptEnd.ABANDONED);
 		}
 		else {
+			this.lostOne |= end == AttemptEnd.LOST;
 			tell(end);
 		}
 	}
 
-	private void cancelAttempt() {
+	/**
+	 * Cancels the attempt under way, and tells whether the backend server may have the
+	 * request.
+	 * @return whether the backend server may have the request
+	 */
+	private boolean cancelAttempt() {
 		Attempt cancelled = this.attempt;
 		this.attempt = null;
-		if (cancelled != null && cancelled.connection != null) {
-			cancelled.connection.close();
+		if (cancelled == null || cancelled.connection == null) {
+			return false;
 		}
+		cancelled.connection.close();
+		return true;
 	}
 
 	private void finishWith(Refusal refusal) {
+		finishWith(refusal.kind().text(), Answers.refusal(refusal, this.keepAlive));
+	}
+
+	private void finishWith(String result, FullHttpResponse response) {
 		if (this.done) {
+			response.release();
 			return;
 		}
-		finish(refusal.kind().text());
-		this.context.writeAndFlush(Answers.refusal(refusal, this.keepAlive));
+		finish(result);
+		this.context.writeAndFlush(response);
 		this.handler.completed(this.context, this.keepAlive);
 	}
 
@@ -252,15 +241,17 @@
 		if (this.timeout != null) {
 			this.timeout.cancel(false);
 		}
-		String service = (this.match != null) ? this.match.service().name() : "";
-		this.services.metrics().request(service, this.organisation, result, System.nanoTime() - this.started);
+		String service = (this.check.match() != null) ? this.check.match().service().name() : "";
+		this.services.metrics().request(service, this.check.organisation(), result, System.nanoTime() - this.started);
 	}
 
 	private void tell(AttemptEnd end) {
-		boolean accepted = this.services.decisions()
-			.test(() -> this.services.steering().attemptEnded(this.flight, end, System.nanoTime()));
-		if (!accepted) {
-			this.context.executor().schedule(() -> tell(end), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+		tell(() -> this.services.steering().attemptEnded(this.flight, end, System.nanoTime()));
+	}
+
+	private void tell(Runnable command) {
+		if (!this.services.decisions().test(command)) {
+			this.context.executor().schedule(() -> tell(command), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -271,64 +262,89 @@
 
 		private final String requestId = Long.toString(REQUEST_IDS.incrementAndGet());
 
+		private final BackendServer server;
+
+		private final AnswerRecorder recorder = Exchange.this.idempotent() ? AnswerRecorder.NoOp.INSTANCE
+				: new AnswerRecorder.Bounded();
+
 		private Channel connection;
 
+		private boolean heard;
+
 		private boolean shed;
 
+		private boolean closing;
+
+		private Attempt(BackendServer server) {
+			this.server = server;
+		}
+
 		@Override
-		public void sent(Channel connection) {
+		public boolean sending(Channel connection, boolean reused) {
+			if (!current()) {
+				return false;
+			}
 			this.connection = connection;
-			if (Exchange.this.attempt != this) {
-				connection.close();
+			if (reused && Exchange.this.idempotent()) {
+				long nanos = Math.min(SILENCE_NANOS, left() / 2);
+				Exchange.this.context.executor().schedule(this::silent, nanos, TimeUnit.NANOSECONDS);
 			}
+			return true;
 		}
 
 		@Override
 		public void head(HttpResponse head) {
-			if (Exchange.this.attempt != this) {
+			if (!current()) {
 				return;
 			}
-			String echoed = head.headers().get(Headers.REQUEST_ID, this.requestId);
+			this.heard = true;
 			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
-			if (!echoed.equals(this.requestId)) {
-				abort(AttemptEnd.LOST);
+			if (!head.headers().get(Headers.REQUEST_ID, this.requestId).equals(this.requestId)) {
+				cancelAttempt();
+				end(AttemptEnd.LOST);
 			}
 			else if (!this.shed) {
 				Exchange.this.answering = true;
 				Headers.removeHopByHop(head.headers());
-				HttpUtil.setKeepAlive(head, Exchange.this.keepAlive);
+				this.recorder.head(head);
+				this.closing = Answers.frame(head, Exchange.this.request, Exchange.this.keepAlive);
 				Exchange.this.context.write(head);
 			}
 		}
 
 		@Override
 		public void content(HttpContent content) {
-			if (Exchange.this.attempt != this) {
+			if (!current() || this.shed) {
 				content.release();
-				return;
-			}
-			boolean last = content instanceof LastHttpContent;
-			if (this.shed) {
-				content.release();
-			}
-			else if (last) {
-				Exchange.this.context.writeAndFlush(content);
 			}
 			else {
+				this.recorder.content(content.content());
 				Exchange.this.context.writeAndFlush(content);
 				callerWritable(Exchange.this.context.channel().isWritable());
 			}
-			if (last) {
+			if (current() && content instanceof LastHttpContent) {
 				whole();
 			}
 		}
 
 		@Override
 		public void failed(AttemptEnd end) {
-			if (Exchange.this.attempt == this) {
+			if (current()) {
 				Exchange.this.attempt = null;
-				abort(end);
+				end(end);
+			}
+		}
+
+		private boolean current() {
+			return Exchange.this.attempt == this;
+		}
+
+		private void silent() {
+			if (current() && !this.heard) {
+				Exchange.this.connections.discardIdle(this.server);
+				cancelAttempt();
+				end(AttemptEnd.LOST);
 			}
 		}
 
@@ -339,8 +355,14 @@
 				return;
 			}
 			finish("answered");
-			tell(AttemptEnd.ANSWERED);
-			Exchange.this.handler.completed(Exchange.this.context, Exchange.this.keepAlive);
+			tell(this::answered);
+			Exchange.this.handler.completed(Exchange.this.context, Exchange.this.keepAlive && !this.closing);
+		}
+
+		private void answered() {
+			this.recorder.recorded().ifPresent(Exchange.this.flight::record);
+			Exchange.this.services.steering()
+				.attemptEnded(Exchange.this.flight, AttemptEnd.ANSWERED, System.nanoTime());
 		}
 
 	}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestCheck.java
@@ -0,0 +1,110 @@
+package io.masticlane.caller;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.configuration.Organisation;
+import io.masticlane.configuration.Route;
+import io.masticlane.failure.ErrorKind;
+import io.masticlane.operation.Operation;
+import io.masticlane.route.RoutingTable;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+
+/**
+ * What a request's head tells: its route, organisation, operation and deadline, or why it
+ * is refused.
+ *
+ * @param problem the reason to refuse the request, if there is one
+ * @param match the route and its service, or {@code null} if none was found
+ * @param organisation the organisation whose key came with the request, or an empty text
+ * @param operation the operation that the request names, or none
+ * @param allowedNanos the time until the deadline in nanoseconds
+ */
+record RequestCheck(Optional<ErrorKind> problem, RoutingTable.Match match, String organisation, Operation operation,
+		long allowedNanos) {
+
+	private static final String BEARER = "Bearer ";
+
+	static RequestCheck of(FullHttpRequest request, EntryServices services) {
+		RoutingTable table = services.table().get();
+		if (services.stopping().getAsBoolean()) {
+			return refused(ErrorKind.SHUTTING_DOWN);
+		}
+		if (table == null) {
+			return refused(ErrorKind.NOT_READY);
+		}
+		return table.match(request.method().name(), path(request))
+			.map((match) -> checkKeys(request, table, match))
+			.orElse(refused(ErrorKind.NO_ROUTE));
+	}
+
+	/**
+	 * Tells whether a request names an operation, well-formed or not.
+	 */
+	static boolean namesOperation(FullHttpRequest request) {
+		return request.headers().contains(Headers.IDEMPOTENCY_KEY);
+	}
+
+	private static RequestCheck checkKeys(FullHttpRequest request, RoutingTable table, RoutingTable.Match match) {
+		if (MisplacedKeys.in(request, table)) {
+			return refused(ErrorKind.KEY_MISPLACED).with(match);
+		}
+		if (match.route().access() == Route.Access.OPEN) {
+			return checkOperation(request, match, "");
+		}
+		List<String> presented = request.headers().getAll(HttpHeaderNames.AUTHORIZATION);
+		if (presented.isEmpty()) {
+			return refused(ErrorKind.KEY_MISSING).with(match);
+		}
+		Optional<Organisation> found = (presented.size() == 1) ? bearer(presented.get(0)).flatMap(table::organisation)
+				: Optional.empty();
+		return found.map((organisation) -> checkOperation(request, match, organisation.name()))
+			.orElse(refused(ErrorKind.KEY_REFUSED).with(match));
+	}
+
+	private static RequestCheck checkOperation(FullHttpRequest request, RoutingTable.Match match, String organisation) {
+		Operation operation = operation(request, organisation);
+		Optional<ErrorKind> problem = (match.route().idempotent() || operation.named()) ? Optional.empty()
+				: Optional.of(ErrorKind.OPERATION_KEY_MISSING);
+		return new RequestCheck(problem, match, organisation, operation, allowedNanos(request, match.route()));
+	}
+
+	private static Operation operation(FullHttpRequest request, String organisation) {
+		List<String> values = request.headers().getAll(Headers.IDEMPOTENCY_KEY);
+		boolean wellFormed = values.size() == 1 && values.get(0).matches("[!-~]{1,200}");
+		return wellFormed ? Operation.of(organisation, values.get(0), fingerprint(request)) : Operation.NONE;
+	}
+
+	private static long fingerprint(FullHttpRequest request) {
+		long head = (request.method().name() + " " + request.uri()).hashCode();
+		return (head << Integer.SIZE) ^ (request.content().hashCode() & 0xFFFFFFFFL);
+	}
+
+	private static Optional<String> bearer(String value) {
+		return value.regionMatches(true, 0, BEARER, 0, BEARER.length())
+				? Optional.of(value.substring(BEARER.length()).trim()) : Optional.empty();
+	}
+
+	private static long allowedNanos(FullHttpRequest request, Route route) {
+		String stated = request.headers().get(Headers.DEADLINE_MILLIS, "");
+		long millis = stated.matches("[0-9]{1,9}") ? Math.min(route.deadlineMillis(), Long.parseLong(stated))
+				: route.deadlineMillis();
+		return TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	private static String path(FullHttpRequest request) {
+		int query = request.uri().indexOf('?');
+		return (query >= 0) ? request.uri().substring(0, query) : request.uri();
+	}
+
+	private static RequestCheck refused(ErrorKind kind) {
+		return new RequestCheck(Optional.of(kind), null, "", Operation.NONE, 0);
+	}
+
+	private RequestCheck with(RoutingTable.Match match) {
+		return new RequestCheck(this.problem, match, this.organisation, this.operation, this.allowedNanos);
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
@@ -24,6 +25,8 @@
 import io.masticlane.membership.EntryHostDirectory;
 import io.masticlane.membership.Members;
 import io.masticlane.message.Message;
+import io.masticlane.operation.OperationLedger;
+import io.masticlane.operation.OwnedOperations;
 import io.masticlane.operation.StoreOperations;
 import io.masticlane.operator.Metrics;
 import io.masticlane.operator.OperatorServer;
@@ -60,6 +63,9 @@
 
 	private static final long DRAIN_STEP_MILLIS = 20;
 
+	private static final OperationLedger.Bounds OPERATION_BOUNDS = new OperationLedger.Bounds(262_144, 65_536,
+			16 * 1024 * 1024);
+
 	private final EntrySettings settings;
 
 	private final EventLog events;
@@ -82,6 +88,10 @@
 
 	private final MessageRouter router = new MessageRouter();
 
+	private final OperationLedger ledger;
+
+	private final OwnedOperations operations;
+
 	private final Steering steering;
 
 	private final Duty decisions;
@@ -124,8 +134,11 @@
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
 				events);
-		this.steering = new Steering(new Limits.EqualShares(),
+		this.ledger = new OperationLedger(this.self.incarnation(), OPERATION_BOUNDS);
+		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
+				System.nanoTime());
+		this.steering = new Steering(new Limits.EqualShares(), this.operations,
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
@@ -174,6 +187,10 @@
 	}
 
 	private void registerHandlers() {
+		this.router.on(Message.OperationClaim.class, this.operations::claimed);
+		this.router.on(Message.OperationRelease.class, this.operations::released);
+		this.router.on(Message.OperationVerdict.class,
+				(peer, verdict) -> this.operations.decided(peer, verdict, System.nanoTime()));
 		this.router.on(Message.Heartbeat.class, this::heartbeatHeard);
 		this.router.on(Message.ConfigurationQuery.class, this::configurationQueried);
 		this.router.on(Message.ConfigurationPush.class,
@@ -231,6 +248,7 @@
 	private void tick() {
 		long now = System.nanoTime();
 		this.inFlight = this.steering.inFlight();
+		this.operations.tick(now);
 		if (this.configuration.table() != null) {
 			publishDirectory();
 		}
@@ -243,13 +261,13 @@
 	private Message.Heartbeat heartbeat(long now) {
 		long storeAge = TimeUnit.NANOSECONDS.toMillis(now - this.storeHeardAt);
 		return new Message.Heartbeat(++this.sequence, 0, this.configuration.revision(), storeAge, this.leaving,
-				this.inFlight);
+				this.inFlight, this.ledger.epoch());
 	}
 
 	private void publishDirectory() {
 		RoutingTable table = this.configuration.table();
 		EntryHostDirectory.HeardHost own = new EntryHostDirectory.HeardHost(this.self.host(), this.self.incarnation(),
-				this.inFlight, this.leaving);
+				this.inFlight, this.leaving, this.ledger.epoch());
 		List<EntryHostDirectory.HeardHost> hosts = EntryHostDirectory.heardHosts(table.configuration(), own,
 				this.members.heard(System.nanoTime()));
 		this.directory = EntryHostDirectory.of(table, hosts, table.region(this.settings.dataCentre()),
@@ -285,6 +303,23 @@
 		};
 	}
 
+	/**
+	 * Finds the owners of operations among the members.
+	 */
+	private final class PeerOwners implements OwnedOperations.Owners {
+
+		@Override
+		public Optional<String> host(String incarnation, long now) {
+			return EntryDaemon.this.members.host(incarnation, now);
+		}
+
+		@Override
+		public boolean send(String host, Message message) {
+			return EntryDaemon.this.network.send(host, message);
+		}
+
+	}
+
 	/**
 	 * Hands what peers send to the decisions' thread.
 	 */
--- a/masticlane/src/main/java/io/masticlane/failure/ErrorKind.java
+++ b/masticlane/src/main/java/io/masticlane/failure/ErrorKind.java
@@ -10,7 +10,7 @@
 	/**
 	 * The request is not well-formed HTTP.
 	 */
-	MALFORMED_REQUEST(400, Outcome.NOT_RUN, "the request is not well-formed"),
+	MALFORMED_REQUEST(400, Outcome.UNKNOWN, "the request is not well-formed"),
 
 	/**
 	 * The request's head or body is larger than accepted.
@@ -32,6 +32,11 @@
 	 */
 	KEY_REFUSED(403, Outcome.NOT_RUN, "the key is not granted"),
 
+	/**
+	 * A granted key stands elsewhere than in the Authorization header.
+	 */
+	KEY_MISPLACED(400, Outcome.NOT_RUN, "a key may stand in the Authorization header alone"),
+
 	/**
 	 * An operation came without an idempotency key.
 	 */
@@ -67,6 +72,11 @@
 	 */
 	OPERATION_UNKNOWN(409, Outcome.UNKNOWN, "an earlier attempt at the operation may have run"),
 
+	/**
+	 * The idempotency key was used for another request.
+	 */
+	OPERATION_MISMATCHED(422, Outcome.UNKNOWN, "the Idempotency-Key was used for another request"),
+
 	/**
 	 * The entry host has no configuration yet.
 	 */
--- a/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -13,6 +13,7 @@
 import io.masticlane.configuration.Configuration;
 import io.masticlane.configuration.EntryHost;
 import io.masticlane.configuration.Region;
+import io.masticlane.operation.Operation;
 import io.masticlane.route.RoutingTable;
 
 /**
@@ -66,7 +67,7 @@
 			.map((host) -> {
 				Member member = byName.get(host.name());
 				return host.name().equals(self.host()) ? self : new HeardHost(host.name(), member.incarnation(),
-						member.heartbeat().load(), member.heartbeat().leaving());
+						member.heartbeat().load(), member.heartbeat().leaving(), member.heartbeat().epoch());
 			})
 			.toList();
 	}
@@ -97,7 +98,8 @@
 	private static String entry(EntryHost configured, HeardHost heard, RoutingTable table) {
 		return "{\"name\":\"" + heard.host() + "\",\"address\":\"" + configured.callerAddress() + "\",\"region\":\""
 				+ table.region(configured.dataCentre()) + "\",\"incarnation\":\"" + heard.incarnation()
-				+ "\",\"leaving\":" + heard.leaving() + "}";
+				+ "\",\"operationPrefix\":\"" + Operation.prefix(heard.incarnation(), heard.epoch()) + "\",\"leaving\":"
+				+ heard.leaving() + "}";
 	}
 
 	private static double distance(RoutingTable table, String from, String to) {
@@ -120,8 +122,9 @@
 	 * @param incarnation the identifier of its process
 	 * @param load the requests in flight
 	 * @param leaving whether it is shutting down
+	 * @param epoch the epoch in which operations that it owns begin
 	 */
-	public record HeardHost(String host, String incarnation, double load, boolean leaving) {
+	public record HeardHost(String host, String incarnation, double load, boolean leaving, long epoch) {
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/membership/Members.java
+++ b/masticlane/src/main/java/io/masticlane/membership/Members.java
@@ -57,6 +57,19 @@
 			.filter((member) -> now - member.heardAt() < this.silenceNanos);
 	}
 
+	/**
+	 * Returns the entry host of a process, if the process is heard.
+	 * @param incarnation the identifier of the process
+	 * @param now the present in nanoseconds
+	 * @return the name of the entry host, or nothing
+	 */
+	public Optional<String> host(String incarnation, long now) {
+		return heard(now).stream()
+			.filter((member) -> member.incarnation().equals(incarnation))
+			.map(Member::host)
+			.findFirst();
+	}
+
 	/**
 	 * Returns the members that are heard, by name.
 	 * @param now the present in nanoseconds
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -38,9 +38,9 @@
 				unpacker.skipValue(size - 4);
 				break;
 			case 2:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 8);
 				decoded = Heartbeat.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 8);
 				break;
 			case 3:
 				MessageFrame.checkSize(tag, size, 2);
@@ -63,14 +63,14 @@
 				unpacker.skipValue(size - 7);
 				break;
 			case 7:
-				MessageFrame.checkSize(tag, size, 4);
+				MessageFrame.checkSize(tag, size, 5);
 				decoded = OperationClaim.decodeFields(unpacker);
-				unpacker.skipValue(size - 4);
+				unpacker.skipValue(size - 5);
 				break;
 			case 8:
-				MessageFrame.checkSize(tag, size, 3);
+				MessageFrame.checkSize(tag, size, 4);
 				decoded = OperationVerdict.decodeFields(unpacker);
-				unpacker.skipValue(size - 3);
+				unpacker.skipValue(size - 4);
 				break;
 			case 9:
 				MessageFrame.checkSize(tag, size, 4);
@@ -128,12 +128,13 @@
 	 * store
 	 * @param leaving whether the sender is shutting down
 	 * @param load the requests in flight at the sender
+	 * @param epoch the epoch in which operations that the sender owns begin
 	 */
-	record Heartbeat(long sequence, long echo, long revision, long storeAgeMillis, boolean leaving,
-			double load) implements Message {
+	record Heartbeat(long sequence, long echo, long revision, long storeAgeMillis, boolean leaving, double load,
+			long epoch) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(8);
 			packer.packInt(2);
 			packer.packLong(this.sequence);
 			packer.packLong(this.echo);
@@ -141,6 +142,7 @@
 			packer.packLong(this.storeAgeMillis);
 			packer.packBoolean(this.leaving);
 			packer.packDouble(this.load);
+			packer.packLong(this.epoch);
 		}
 
 		private static Heartbeat decodeFields(MessageUnpacker unpacker) throws IOException {
@@ -150,7 +152,8 @@
 			long storeAgeMillis = unpacker.unpackLong();
 			boolean leaving = unpacker.unpackBoolean();
 			double load = unpacker.unpackDouble();
-			return new Heartbeat(sequence, echo, revision, storeAgeMillis, leaving, load);
+			long epoch = unpacker.unpackLong();
+			return new Heartbeat(sequence, echo, revision, storeAgeMillis, leaving, load, epoch);
 		}
 	}
 
@@ -272,22 +275,25 @@
 	 * @param claim the identifier of the claim, unique within the sender's incarnation
 	 * @param organisation the organisation whose key came with the request
 	 * @param operation the idempotency key of the request
+	 * @param fingerprint a digest of the request
 	 */
-	record OperationClaim(long claim, String organisation, String operation) implements Message {
+	record OperationClaim(long claim, String organisation, String operation, long fingerprint) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(4);
+			packer.packArrayHeader(5);
 			packer.packInt(7);
 			packer.packLong(this.claim);
 			packer.packString(this.organisation);
 			packer.packString(this.operation);
+			packer.packLong(this.fingerprint);
 		}
 
 		private static OperationClaim decodeFields(MessageUnpacker unpacker) throws IOException {
 			long claim = unpacker.unpackLong();
 			String organisation = unpacker.unpackString();
 			String operation = unpacker.unpackString();
-			return new OperationClaim(claim, organisation, operation);
+			long fingerprint = unpacker.unpackLong();
+			return new OperationClaim(claim, organisation, operation, fingerprint);
 		}
 	}
 
@@ -296,20 +302,23 @@
 	 *
 	 * @param claim the identifier of the claim
 	 * @param verdict the name of the verdict
+	 * @param incarnation the identifier of the process that made the claim
 	 */
-	record OperationVerdict(long claim, String verdict) implements Message {
+	record OperationVerdict(long claim, String verdict, String incarnation) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(3);
+			packer.packArrayHeader(4);
 			packer.packInt(8);
 			packer.packLong(this.claim);
 			packer.packString(this.verdict);
+			packer.packString(this.incarnation);
 		}
 
 		private static OperationVerdict decodeFields(MessageUnpacker unpacker) throws IOException {
 			long claim = unpacker.unpackLong();
 			String verdict = unpacker.unpackString();
-			return new OperationVerdict(claim, verdict);
+			String incarnation = unpacker.unpackString();
+			return new OperationVerdict(claim, verdict, incarnation);
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/operation/Operations.java
+++ b/masticlane/src/main/java/io/masticlane/operation/Operations.java
@@ -1,24 +1,27 @@
 package io.masticlane.operation;
 
+import java.util.Optional;
+
 /**
- * Decides which attempt may run an operation, so that it runs at most once.
+ * Decides which attempt may run an operation, so that it runs at most once; used on the
+ * decisions' thread alone.
  */
 public interface Operations {
 
 	/**
 	 * Claims the right to run an operation.
-	 * @param organisation the organisation whose key came with the request
-	 * @param operation the idempotency key of the request
-	 * @param answer the receiver of the verdict, on the decisions' thread
+	 * @param operation the operation
+	 * @param now the present on the monotonic clock in nanoseconds
+	 * @param receiver the receiver of the verdict, on the decisions' thread
 	 */
-	void claim(String organisation, String operation, VerdictReceiver answer);
+	void claim(Operation operation, long now, VerdictReceiver receiver);
 
 	/**
-	 * Returns a granted right, since the operation was certainly not run.
-	 * @param organisation the organisation whose key came with the request
-	 * @param operation the idempotency key of the request
+	 * Tells whether it is known that no attempt at an operation has run or is running.
+	 * @param operation the operation
+	 * @return whether no attempt has run or is running
 	 */
-	void release(String organisation, String operation);
+	boolean knownNotRun(Operation operation);
 
 	/**
 	 * Receives the verdict on a claim.
@@ -36,19 +39,96 @@
 	}
 
 	/**
-	 * The verdict on a claim.
+	 * The right to run an operation once.
 	 */
-	enum Verdict {
+	interface Grant {
 
 		/**
-		 * The operation may be run by this attempt alone.
+		 * Returns the right, since the operation was certainly not run.
 		 */
-		GRANTED,
+		void release();
 
 		/**
-		 * An earlier attempt at the operation may have run or may still run it.
+		 * Tells that the attempt ended.
+		 * @param answer the whole answer, if there was one and it is small enough
 		 */
-		UNKNOWN
+		void end(Optional<RecordedAnswer> answer);
+
+		/**
+		 * The grant of a request that needs none.
+		 */
+		enum NoOp implements Grant {
+
+			/**
+			 * The only instance.
+			 */
+			INSTANCE;
+
+			@Override
+			public void release() {
+			}
+
+			@Override
+			public void end(Optional<RecordedAnswer> answer) {
+			}
+
+		}
+
+	}
+
+	/**
+	 * The verdict on a claim.
+	 *
+	 * @param kind the kind of verdict
+	 * @param grant the granted right, which does nothing unless the claim was granted
+	 * @param answer the answer to an earlier attempt, if it is kept
+	 */
+	record Verdict(Kind kind, Grant grant, Optional<RecordedAnswer> answer) {
+
+		static Verdict of(Kind kind) {
+			return new Verdict(kind, Grant.NoOp.INSTANCE, Optional.empty());
+		}
+
+		static Verdict granted(Grant grant) {
+			return new Verdict(Kind.GRANTED, grant, Optional.empty());
+		}
+
+		/**
+		 * The kind of a verdict.
+		 */
+		public enum Kind {
+
+			/**
+			 * The operation may be run by this attempt alone.
+			 */
+			GRANTED,
+
+			/**
+			 * An earlier attempt at the operation is running.
+			 */
+			RUNNING,
+
+			/**
+			 * An earlier attempt was answered, and the answer is kept.
+			 */
+			ANSWERED,
+
+			/**
+			 * The idempotency key was used for another request.
+			 */
+			MISMATCHED,
+
+			/**
+			 * No attempt has run, and the table of operations has no room.
+			 */
+			FULL,
+
+			/**
+			 * An earlier attempt at the operation may have run or may still run.
+			 */
+			UNKNOWN
+
+		}
 
 	}
 
--- a/masticlane/src/main/java/io/masticlane/operation/StoreOperations.java
+++ b/masticlane/src/main/java/io/masticlane/operation/StoreOperations.java
@@ -1,15 +1,25 @@
 package io.masticlane.operation;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 
+import io.masticlane.operation.Operations.Verdict.Kind;
 import io.masticlane.platform.Store;
 
 /**
- * Claims each operation by creating a key in the platform's store.
+ * Claims each operation by creating a key in the platform's store. The key lives by a
+ * lease, so that old claims are removed.
  */
 public final class StoreOperations implements Operations {
 
+	private static final long CLAIM_SECONDS = TimeUnit.HOURS.toSeconds(25);
+
+	private static final long LEASE_USE_NANOS = TimeUnit.HOURS.toNanos(1);
+
 	private final Store store;
 
 	private final String prefix;
@@ -18,6 +28,12 @@
 
 	private final Executor decisions;
 
+	private CompletableFuture<Long> lease = CompletableFuture.failedFuture(new IllegalStateException("no lease yet"));
+
+	private long leaseAskedAt;
+
+	private long claims;
+
 	/**
 	 * Creates new operations.
 	 * @param store the platform's store
@@ -33,22 +49,72 @@
 	}
 
 	@Override
-	public void claim(String organisation, String operation, VerdictReceiver answer) {
-		byte[] value = this.incarnation.getBytes(StandardCharsets.UTF_8);
-		this.store.compareAndSet(key(organisation, operation), Store.ABSENT, value, Store.NO_LEASE)
-			.handle((result, failure) -> (failure == null && result.succeeded()) ? Verdict.GRANTED : Verdict.UNKNOWN)
-			.thenAcceptAsync((verdict) -> answer.receive(verdict, System.nanoTime()), this.decisions);
+	public void claim(Operation operation, long now, VerdictReceiver receiver) {
+		String key = this.prefix + "operations/" + operation.organisation() + "/" + operation.key();
+		byte[] nonce = (this.incarnation + "/" + ++this.claims).getBytes(StandardCharsets.UTF_8);
+		lease(now).thenCompose((granted) -> create(key, nonce, granted))
+			.exceptionally((failure) -> Verdict.of(Kind.UNKNOWN))
+			.thenAcceptAsync((verdict) -> receiver.receive(verdict, System.nanoTime()), this.decisions);
 	}
 
 	@Override
-	public void release(String organisation, String operation) {
-		String key = key(organisation, operation);
-		this.store.read(key)
-			.thenAccept((found) -> found.ifPresent((entry) -> this.store.compareAndDelete(key, entry.revision())));
+	public boolean knownNotRun(Operation operation) {
+		return false;
 	}
 
-	private String key(String organisation, String operation) {
-		return this.prefix + "operations/" + organisation + "/" + operation;
+	private CompletableFuture<Long> lease(long now) {
+		if (this.lease.isCompletedExceptionally() || now - this.leaseAskedAt >= LEASE_USE_NANOS) {
+			this.leaseAskedAt = now;
+			this.lease = this.store.grantLease(CLAIM_SECONDS);
+		}
+		return this.lease;
+	}
+
+	private CompletableFuture<Verdict> create(String key, byte[] nonce, long granted) {
+		return this.store.compareAndSet(key, Store.ABSENT, nonce, granted)
+			.thenApply((result) -> result.succeeded() ? grant(key, result.revision()) : Verdict.of(Kind.UNKNOWN))
+			.handle((verdict, failure) -> (failure != null) ? readBack(key, nonce)
+					: CompletableFuture.completedFuture(verdict))
+			.thenCompose((verdict) -> verdict);
+	}
+
+	/**
+	 * Reads a claim whose reply was lost; an absent one may still take effect.
+	 * @param key the key of the claim
+	 * @param nonce the value of this claim
+	 * @return the verdict
+	 */
+	private CompletableFuture<Verdict> readBack(String key, byte[] nonce) {
+		return this.store.read(key)
+			.thenApply((found) -> found.filter((entry) -> Arrays.equals(entry.value(), nonce))
+				.map((entry) -> grant(key, entry.revision()))
+				.orElse(Verdict.of(Kind.UNKNOWN)));
+	}
+
+	private Verdict grant(String key, long revision) {
+		return Verdict.granted(new StoredGrant(key, revision));
+	}
+
+	private final class StoredGrant implements Grant {
+
+		private final String key;
+
+		private final long revision;
+
+		private StoredGrant(String key, long revision) {
+			this.key = key;
+			this.revision = revision;
+		}
+
+		@Override
+		public void release() {
+			StoreOperations.this.store.compareAndDelete(this.key, this.revision);
+		}
+
+		@Override
+		public void end(Optional<RecordedAnswer> answer) {
+		}
+
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/steering/Arrival.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Arrival.java
@@ -1,5 +1,6 @@
 package io.masticlane.steering;
 
+import io.masticlane.operation.Operation;
 import io.masticlane.route.RoutingTable;
 
 /**
@@ -8,12 +9,13 @@
  * @param organisation the organisation whose key came with the request, or an empty text
  * on an open route
  * @param match the route of the request and its service
- * @param operation the idempotency key, or an empty text
+ * @param operation the operation that the request names, or none
  * @param deadline the time on the monotonic clock by which the answer is due, in
  * nanoseconds
  * @param carrier the executor of the decisions
  */
-public record Arrival(String organisation, RoutingTable.Match match, String operation, long deadline, Carrier carrier) {
+public record Arrival(String organisation, RoutingTable.Match match, Operation operation, long deadline,
+		Carrier carrier) {
 
 	/**
 	 * Tells whether the request may run more than once.
--- a/masticlane/src/main/java/io/masticlane/steering/AttemptEnd.java
+++ b/masticlane/src/main/java/io/masticlane/steering/AttemptEnd.java
@@ -30,6 +30,12 @@
 	 */
 	TIMED_OUT,
 
+	/**
+	 * The deadline passed or the caller went away while no attempt was at a backend
+	 * server.
+	 */
+	WITHDRAWN,
+
 	/**
 	 * The caller went away, or its answer was cut after it had begun.
 	 */
--- a/masticlane/src/main/java/io/masticlane/steering/Carrier.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Carrier.java
@@ -2,6 +2,7 @@
 
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.Refusal;
+import io.masticlane.operation.RecordedAnswer;
 
 /**
  * Carries out the decisions on one request.
@@ -20,4 +21,10 @@
 	 */
 	void refuse(Refusal refusal);
 
+	/**
+	 * Gives the answer to an earlier attempt at the operation again.
+	 * @param answer the answer
+	 */
+	void replay(RecordedAnswer answer);
+
 }
--- a/masticlane/src/main/java/io/masticlane/steering/Flight.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Flight.java
@@ -1,9 +1,12 @@
 package io.masticlane.steering;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import io.masticlane.configuration.BackendServer;
+import io.masticlane.operation.Operations;
+import io.masticlane.operation.RecordedAnswer;
 
 /**
  * The state of a request between its arrival and its end; used on the decisions' thread
@@ -17,7 +20,13 @@
 
 	private BackendServer server;
 
-	private boolean claimed;
+	private Operations.Grant grant = Operations.Grant.NoOp.INSTANCE;
+
+	private Optional<RecordedAnswer> answer = Optional.empty();
+
+	private boolean knownNotRun;
+
+	private boolean mayHaveRun;
 
 	private boolean ended;
 
@@ -42,12 +51,33 @@
 		this.tried.add(server.name());
 	}
 
-	boolean claimed() {
-		return this.claimed;
+	/**
+	 * Records the answer, to be given again to a later attempt at the operation.
+	 * @param answer the whole answer
+	 */
+	public void record(RecordedAnswer answer) {
+		this.answer = Optional.of(answer);
+	}
+
+	boolean knownNotRun() {
+		return this.knownNotRun && !this.mayHaveRun;
+	}
+
+	boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
+	void granted(Operations.Grant grant) {
+		this.grant = grant;
+		this.knownNotRun = true;
+	}
+
+	void refusedAsFull() {
+		this.knownNotRun = true;
 	}
 
-	void claim() {
-		this.claimed = true;
+	void run() {
+		this.mayHaveRun = true;
 	}
 
 	boolean ended() {
@@ -56,6 +86,12 @@
 
 	void end() {
 		this.ended = true;
+		if (this.mayHaveRun) {
+			this.grant.end(this.answer);
+		}
+		else {
+			this.grant.release();
+		}
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -1,10 +1,13 @@
 package io.masticlane.steering;
 
+import java.util.EnumSet;
 import java.util.Optional;
+import java.util.Set;
 
 import io.masticlane.backend.Balancer;
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.ErrorKind;
+import io.masticlane.failure.Outcome;
 import io.masticlane.failure.Refusal;
 import io.masticlane.limit.Limits;
 import io.masticlane.operation.Operations;
@@ -18,6 +21,9 @@
 
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
+	private static final Set<AttemptEnd> RUN = EnumSet.of(AttemptEnd.ANSWERED, AttemptEnd.LOST, AttemptEnd.TIMED_OUT,
+			AttemptEnd.ABANDONED);
+
 	private final Limits limits;
 
 	private final Operations operations;
@@ -64,8 +70,7 @@
 			dispatch(flight, now);
 		}
 		else {
-			this.operations.claim(arrival.organisation(), arrival.operation(),
-					(verdict, at) -> claimed(flight, verdict, at));
+			this.operations.claim(arrival.operation(), now, (verdict, at) -> claimed(flight, verdict, at));
 		}
 		return flight;
 	}
@@ -83,11 +88,14 @@
 		if (flight.server() != null) {
 			this.balancer.release(flight.server(), end);
 		}
+		if (RUN.contains(end)) {
+			flight.run();
+		}
 		switch (end) {
 			case ANSWERED, ABANDONED -> finish(flight);
 			case NOT_SENT, SHED -> retry(flight, now);
 			case LOST -> lost(flight, now);
-			case TIMED_OUT -> refuse(flight, Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
+			case TIMED_OUT, WITHDRAWN -> refuse(flight, Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
 		}
 	}
 
@@ -105,21 +113,31 @@
 	}
 
 	private void claimed(Flight flight, Operations.Verdict verdict, long now) {
-		boolean granted = verdict == Operations.Verdict.GRANTED;
 		if (flight.ended()) {
-			if (granted) {
-				this.operations.release(flight.arrival().organisation(), flight.arrival().operation());
-			}
-		}
-		else if (granted) {
-			flight.claim();
-			dispatch(flight, now);
+			verdict.grant().release();
+			return;
 		}
-		else {
-			refuse(flight, Refusal.of(ErrorKind.OPERATION_UNKNOWN));
+		switch (verdict.kind()) {
+			case GRANTED -> {
+				flight.granted(verdict.grant());
+				dispatch(flight, now);
+			}
+			case ANSWERED -> replay(flight, verdict);
+			case RUNNING -> refuse(flight, Refusal.of(ErrorKind.OPERATION_RUNNING));
+			case MISMATCHED -> refuse(flight, Refusal.of(ErrorKind.OPERATION_MISMATCHED));
+			case UNKNOWN -> refuse(flight, Refusal.of(ErrorKind.OPERATION_UNKNOWN));
+			case FULL -> {
+				flight.refusedAsFull();
+				refuse(flight, Refusal.of(ErrorKind.SATURATED));
+			}
 		}
 	}
 
+	private void replay(Flight flight, Operations.Verdict verdict) {
+		finish(flight);
+		verdict.answer().ifPresent(flight.arrival().carrier()::replay);
+	}
+
 	private void dispatch(Flight flight, long now) {
 		Arrival arrival = flight.arrival();
 		Optional<BackendServer> server = (arrival.deadline() - now > 0)
@@ -152,15 +170,28 @@
 	}
 
 	private void notRun(Flight flight) {
-		if (flight.claimed()) {
-			this.operations.release(flight.arrival().organisation(), flight.arrival().operation());
-		}
 		refuse(flight, Refusal.of(ErrorKind.OVERLOADED));
 	}
 
 	private void refuse(Flight flight, Refusal refusal) {
+		Outcome outcome = knownNotRun(flight) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
 		finish(flight);
-		flight.arrival().carrier().refuse(refusal);
+		flight.arrival().carrier().refuse(refusal.withOutcome(outcome));
+	}
+
+	/**
+	 * Tells whether it is known that the operation has not run by any attempt; a request
+	 * that names none is its own only attempt.
+	 * @param flight the state of the request
+	 * @return whether it is known that the operation has not run
+	 */
+	private boolean knownNotRun(Flight flight) {
+		Arrival arrival = flight.arrival();
+		if (flight.mayHaveRun()) {
+			return false;
+		}
+		return !arrival.operation().named() || flight.knownNotRun()
+				|| (!arrival.idempotent() && this.operations.knownNotRun(arrival.operation()));
 	}
 
 	private void finish(Flight flight) {
--- a/masticlane/src/test/java/io/masticlane/message/MessageFrameTests.java
+++ b/masticlane/src/test/java/io/masticlane/message/MessageFrameTests.java
@@ -12,7 +12,7 @@
 
 public class MessageFrameTests {
 
-	private final Message.Heartbeat heartbeat = new Message.Heartbeat(7, 6, 42, 1_500, false, 3);
+	private final Message.Heartbeat heartbeat = new Message.Heartbeat(7, 6, 42, 1_500, false, 3, 1);
 
 	@Test
 	public void aDecodedMessageEqualsTheEncodedOne() throws IOException {
