--- a/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
+++ b/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
@@ -45,6 +45,12 @@
 
 	private final AtomicInteger mostRunning = new AtomicInteger();
 
+	private final AtomicInteger shed = new AtomicInteger();
+
+	private final AtomicInteger begun = new AtomicInteger();
+
+	private volatile boolean leaving;
+
 	private final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
 	private final Set<String> headerNames = ConcurrentHashMap.newKeySet();
@@ -99,6 +105,38 @@
 		return this.mostRunning.get();
 	}
 
+	/**
+	 * Returns the requests that were shed.
+	 * @return the requests that were shed
+	 */
+	public int shed() {
+		return this.shed.get();
+	}
+
+	/**
+	 * Returns the requests that began to run.
+	 * @return the requests that began to run
+	 */
+	public int begun() {
+		return this.begun.get();
+	}
+
+	/**
+	 * Returns the requests that are running.
+	 * @return the requests that are running
+	 */
+	public int running() {
+		return this.running.get();
+	}
+
+	/**
+	 * Tells callers with each answer whether this backend server is leaving.
+	 * @param leaving whether this backend server is leaving
+	 */
+	public void leaving(boolean leaving) {
+		this.leaving = leaving;
+	}
+
 	/**
 	 * Returns the lower-case names of all headers that requests came with.
 	 * @return the names of all headers that requests came with
@@ -121,9 +159,11 @@
 			int now = server.running.incrementAndGet();
 			if (now > server.slots) {
 				server.running.decrementAndGet();
+				server.shed.incrementAndGet();
 				answer(context, request, HttpResponseStatus.SERVICE_UNAVAILABLE, "shed\n", "not-run");
 				return;
 			}
+			server.begun.incrementAndGet();
 			server.mostRunning.accumulateAndGet(now, Math::max);
 			String operation = request.headers().get("Idempotency-Key");
 			if (operation != null) {
@@ -148,6 +188,11 @@
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 					Unpooled.wrappedBuffer(body));
 			response.headers().setInt("Content-Length", body.length).set("Request-Outcome", outcome);
+			BackendStandIn server = BackendStandIn.this;
+			response.headers().set("Backend-Load", Math.min(server.running.get(), server.slots) + "/" + server.slots);
+			if (server.leaving) {
+				response.headers().set("Backend-State", "leaving");
+			}
 			String requestId = request.headers().get("Masticlane-Request-Id");
 			if (requestId != null) {
 				response.headers().set("Masticlane-Request-Id", requestId);
