--- a/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
+++ b/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
@@ -18,9 +18,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -31,6 +34,13 @@
  */
 public final class BackendStandIn implements AutoCloseable {
 
+	private static final long STREAM_MILLIS = 50;
+
+	/**
+	 * The end of a path whose answer has no end.
+	 */
+	private static final String STREAM_SUFFIX = "/stream";
+
 	private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
 	private final String name;
@@ -45,6 +55,12 @@
 
 	private final AtomicInteger mostRunning = new AtomicInteger();
 
+	private final AtomicInteger shed = new AtomicInteger();
+
+	private final AtomicInteger begun = new AtomicInteger();
+
+	private volatile boolean leaving;
+
 	private final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
 	private final Set<String> headerNames = ConcurrentHashMap.newKeySet();
@@ -99,6 +115,38 @@
 		return this.mostRunning.get();
 	}
 
+	/**
+	 * Returns the requests that were shed.
+	 * @return the requests that were shed
+	 */
+	public int shed() {
+		return this.shed.get();
+	}
+
+	/**
+	 * Returns the requests that began to run.
+	 * @return the requests that began to run
+	 */
+	public int begun() {
+		return this.begun.get();
+	}
+
+	/**
+	 * Returns the requests that are running.
+	 * @return the requests that are running
+	 */
+	public int running() {
+		return this.running.get();
+	}
+
+	/**
+	 * Tells callers with each answer whether this backend server is leaving.
+	 * @param leaving whether this backend server is leaving
+	 */
+	public void leaving(boolean leaving) {
+		this.leaving = leaving;
+	}
+
 	/**
 	 * Returns the lower-case names of all headers that requests came with.
 	 * @return the names of all headers that requests came with
@@ -121,9 +169,11 @@
 			int now = server.running.incrementAndGet();
 			if (now > server.slots) {
 				server.running.decrementAndGet();
+				server.shed.incrementAndGet();
 				answer(context, request, HttpResponseStatus.SERVICE_UNAVAILABLE, "shed\n", "not-run");
 				return;
 			}
+			server.begun.incrementAndGet();
 			server.mostRunning.accumulateAndGet(now, Math::max);
 			String operation = request.headers().get("Idempotency-Key");
 			if (operation != null) {
@@ -137,17 +187,42 @@
 			BackendStandIn server = BackendStandIn.this;
 			server.running.decrementAndGet();
 			String organisation = request.headers().get("Masticlane-Organisation", "");
+			if (request.uri().endsWith(STREAM_SUFFIX)) {
+				stream(context, request);
+				request.release();
+				return;
+			}
 			answer(context, request, HttpResponseStatus.OK,
 					server.name + " " + organisation + " " + request.uri() + "\n", "run");
 			request.release();
 		}
 
+		private void stream(ChannelHandlerContext context, FullHttpRequest request) {
+			HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+			head.headers().set("Transfer-Encoding", "chunked");
+			head.headers().set("Masticlane-Request-Id", request.headers().get("Masticlane-Request-Id", ""));
+			context.writeAndFlush(head);
+			streamOn(context);
+		}
+
+		private void streamOn(ChannelHandlerContext context) {
+			if (context.channel().isActive()) {
+				context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer("row\n", StandardCharsets.UTF_8)));
+				context.executor().schedule(() -> streamOn(context), STREAM_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}
+
 		private void answer(ChannelHandlerContext context, FullHttpRequest request, HttpResponseStatus status,
 				String text, String outcome) {
 			byte[] body = text.getBytes(StandardCharsets.UTF_8);
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 					Unpooled.wrappedBuffer(body));
 			response.headers().setInt("Content-Length", body.length).set("Request-Outcome", outcome);
+			BackendStandIn server = BackendStandIn.this;
+			response.headers().set("Backend-Load", Math.min(server.running.get(), server.slots) + "/" + server.slots);
+			if (server.leaving) {
+				response.headers().set("Backend-State", "leaving");
+			}
 			String requestId = request.headers().get("Masticlane-Request-Id");
 			if (requestId != null) {
 				response.headers().set("Masticlane-Request-Id", requestId);
--- a/masticlane/src/main/java/io/masticlane/entry/FleetLimits.java
+++ b/masticlane/src/main/java/io/masticlane/entry/FleetLimits.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 
@@ -81,14 +82,12 @@
 		this.settlement.configure(hosts.stream().filter((host) -> !host.equals(this.self.host())).toList(), now);
 	}
 
-	void heard(Peer peer, Message.Heartbeat heartbeat, long now) {
-		this.quorum.heard(peer, heartbeat, now);
+	void heard(Peer peer, Message.Heartbeat heartbeat, OptionalLong sentNotBefore, long now) {
+		this.quorum.heard(peer, heartbeat.storeCallAgeMillis(), sentNotBefore, now);
 	}
 
-	Message.Heartbeat complete(Message.Heartbeat heartbeat, Peer receiver, long now) {
-		this.quorum.sent(heartbeat.sequence(), now);
-		return new Message.Heartbeat(heartbeat.sequence(), this.quorum.echo(receiver), heartbeat.revision(),
-				this.quorum.storeAgeMillis(now), heartbeat.leaving(), heartbeat.load());
+	long storeCallAgeMillis(long now) {
+		return this.quorum.storeCallAgeMillis(now);
 	}
 
 	void tick(long now) {
--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -118,8 +118,8 @@
 	}
 
 	/**
-	 * Sends a message over every connection.
-	 * @param message returns the message for a peer
+	 * Sends a message over every connection that has room.
+	 * @param message creates the message to each peer
 	 */
 	public void sendOnEveryConnection(Function<Peer, Message> message) {
 		this.greeted.entrySet()
--- a/masticlane/src/main/java/io/masticlane/share/StoreQuorum.java
+++ b/masticlane/src/main/java/io/masticlane/share/StoreQuorum.java
@@ -2,15 +2,14 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
-import io.masticlane.message.Message;
 import io.masticlane.peer.Peer;
 
 /**
@@ -23,7 +22,7 @@
 	/**
 	 * The age in a heartbeat of a process that cannot tell when the store was heard.
 	 */
-	public static final long UNKNOWN_MILLIS = Integer.MAX_VALUE;
+	public static final long UNKNOWN_MILLIS = -1;
 
 	private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -33,17 +32,8 @@
 
 	private static final long OUTAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_750);
 
-	private static final int HEARTBEATS_REMEMBERED = 64;
-
 	private final Map<String, Voice> voices = new HashMap<>();
 
-	private final Map<Long, Long> sent = new LinkedHashMap<>() {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > HEARTBEATS_REMEMBERED;
-		}
-	};
-
 	private final long startedAt;
 
 	private List<String> hosts = List.of();
@@ -81,47 +71,31 @@
 		this.storeHeardAt = Math.max(this.storeHeardAt, sentAt);
 	}
 
-	/**
-	 * Remembers a heartbeat that this process sends.
-	 * @param sequence the number of the heartbeat
-	 * @param now the present in nanoseconds
-	 */
-	public void sent(long sequence, long now) {
-		this.sent.put(sequence, now);
-	}
-
-	/**
-	 * Returns the number of the last heartbeat heard from a process, to be echoed to it.
-	 * @param peer the process
-	 * @return the number, or zero
-	 */
-	public long echo(Peer peer) {
-		return Optional.ofNullable(this.voices.get(peer.host()))
-			.filter((voice) -> voice.incarnation().equals(peer.incarnation()))
-			.map(Voice::sequence)
-			.orElse(0L);
-	}
-
 	/**
 	 * Receives a heartbeat.
 	 * @param peer the sender
-	 * @param heartbeat the heartbeat
+	 * @param ageMillis the age that the heartbeat tells
+	 * @param sentNotBefore the time before which it cannot have been sent, if that is
+	 * known
 	 * @param now the present in nanoseconds
 	 */
-	public void heard(Peer peer, Message.Heartbeat heartbeat, long now) {
-		Long sentAt = this.sent.get(heartbeat.echo());
+	public void heard(Peer peer, long ageMillis, OptionalLong sentNotBefore, long now) {
 		Voice former = this.voices.get(peer.host());
 		boolean same = former != null && former.incarnation().equals(peer.incarnation());
-		if (sentAt == null || (same && former.dated() && former.sentAt() - sentAt > 0)) {
-			this.voices.put(peer.host(), (same ? former : Voice.undated(peer)).withSequence(heartbeat.sequence()));
+		if (sentNotBefore.isEmpty()) {
+			this.voices.put(peer.host(), same ? former : Voice.undated(peer));
 			return;
 		}
-		long age = TimeUnit.MILLISECONDS.toNanos(heartbeat.storeAgeMillis());
-		boolean known = heartbeat.storeAgeMillis() != UNKNOWN_MILLIS;
+		long sentAt = sentNotBefore.getAsLong();
+		if (same && former.dated() && former.sentAt() - sentAt > 0) {
+			return;
+		}
+		long age = TimeUnit.MILLISECONDS.toNanos(ageMillis);
+		boolean known = ageMillis != UNKNOWN_MILLIS;
 		boolean young = known && age <= YOUNG_NANOS;
 		boolean unbroken = same && former.young() && now - former.sentAt() <= FRESH_NANOS;
-		this.voices.put(peer.host(), new Voice(peer.incarnation(), heartbeat.sequence(), true, sentAt, known, age,
-				young, unbroken ? former.youngSince() : now));
+		this.voices.put(peer.host(),
+				new Voice(peer.incarnation(), true, sentAt, known, age, young, unbroken ? former.youngSince() : now));
 		if (known) {
 			this.storeHeardAt = Math.max(this.storeHeardAt, sentAt - age);
 		}
@@ -143,7 +117,7 @@
 	 * @param now the present in nanoseconds
 	 * @return the age in milliseconds, or {@link #UNKNOWN_MILLIS}
 	 */
-	public long storeAgeMillis(long now) {
+	public long storeCallAgeMillis(long now) {
 		boolean started = now - this.startedAt > OUTAGE_NANOS;
 		boolean heard = this.storeHeardAt - this.startedAt >= 0;
 		return (started || heard) ? TimeUnit.NANOSECONDS.toMillis(now - this.storeHeardAt) : UNKNOWN_MILLIS;
@@ -217,16 +191,11 @@
 			.orElse(now - 2 * FRESH_NANOS);
 	}
 
-	private record Voice(String incarnation, long sequence, boolean dated, long sentAt, boolean known, long age,
-			boolean young, long youngSince) {
+	private record Voice(String incarnation, boolean dated, long sentAt, boolean known, long age, boolean young,
+			long youngSince) {
 
 		static Voice undated(Peer peer) {
-			return new Voice(peer.incarnation(), 0, false, 0, false, 0, false, 0);
-		}
-
-		Voice withSequence(long sequence) {
-			return new Voice(this.incarnation, sequence, this.dated, this.sentAt, this.known, this.age, this.young,
-					this.youngSince);
+			return new Voice(peer.incarnation(), false, 0, false, 0, false, 0);
 		}
 
 	}
--- a/masticlane/src/test/java/io/masticlane/share/SimulatedFleet.java
+++ b/masticlane/src/test/java/io/masticlane/share/SimulatedFleet.java
@@ -18,6 +18,7 @@
 import io.masticlane.configuration.Organisation;
 import io.masticlane.configuration.Region;
 import io.masticlane.limit.ShareLedger;
+import io.masticlane.membership.HeartbeatEchoes;
 import io.masticlane.message.Message;
 import io.masticlane.peer.Peer;
 import io.masticlane.platform.StoreException;
@@ -189,7 +190,7 @@
 
 		private long revision;
 
-		private long sequence = SimulatedFleet.this.random.nextLong(1L << 40);
+		private final HeartbeatEchoes echoes = new HeartbeatEchoes();
 
 		private long nextHeartbeat;
 
@@ -268,8 +269,10 @@
 			SimulatedFleet fleet = SimulatedFleet.this;
 			if (fleet.now - this.nextHeartbeat >= 0) {
 				this.nextHeartbeat = fleet.now + 500 * MILLI;
-				this.sequence++;
-				IntStream.range(0, fleet.hosts.size()).filter((each) -> each != this.index).forEach(this::beat);
+				long sequence = this.echoes.next(clock());
+				IntStream.range(0, fleet.hosts.size())
+					.filter((each) -> each != this.index)
+					.forEach((each) -> beat(each, sequence));
 				if (!fleet.storeDown && !fleet.cutFromStore[this.index]) {
 					configure(fleet.revisions.size());
 				}
@@ -292,11 +295,10 @@
 			this.ledger.tick(time);
 		}
 
-		private void beat(int other) {
-			this.quorum.sent(this.sequence, clock());
-			send("entry-" + other,
-					new Message.Heartbeat(this.sequence, this.quorum.echo(SimulatedFleet.this.hosts.get(other).peer),
-							this.revision, this.quorum.storeAgeMillis(clock()), false, 0));
+		private void beat(int other, long sequence) {
+			long echo = this.echoes.echo(SimulatedFleet.this.hosts.get(other).peer);
+			send("entry-" + other, new Message.Heartbeat(sequence, echo, this.revision, 0, false, 0, 0,
+					this.quorum.storeCallAgeMillis(clock())));
 		}
 
 		private void send(String host, Message message) {
@@ -305,25 +307,31 @@
 			if (fleet.cut[this.index][to] || fleet.lost()) {
 				return;
 			}
+			Host receiver = fleet.hosts.get(to);
 			int copies = (fleet.random.nextDouble() < fleet.lossRate) ? 2 : 1;
 			IntStream.range(0, copies)
-				.forEach((copy) -> fleet.at(fleet.now + fleet.latency(this.index, to), () -> arrive(to, message)));
+				.forEach(
+						(copy) -> fleet.at(fleet.now + fleet.latency(this.index, to), () -> arrive(receiver, message)));
 		}
 
-		private void arrive(int to, Message message) {
-			Host receiver = SimulatedFleet.this.hosts.get(to);
-			if (!receiver.runs() && !receiver.fresh) {
-				SimulatedFleet.this.at(receiver.pausedUntil, () -> arrive(to, message));
+		private void arrive(Host receiver, Message message) {
+			if (receiver.fresh || SimulatedFleet.this.hosts.get(receiver.index) != receiver) {
+				return;
 			}
-			else if (!receiver.fresh) {
+			if (receiver.runs()) {
 				receiver.hear(this.peer, message);
 			}
+			else {
+				SimulatedFleet.this.at(receiver.pausedUntil, () -> arrive(receiver, message));
+			}
 		}
 
 		private void hear(Peer from, Message message) {
 			long time = clock();
 			if (message instanceof Message.Heartbeat heartbeat) {
-				this.quorum.heard(from, heartbeat, time);
+				this.quorum.heard(from, heartbeat.storeCallAgeMillis(), this.echoes.sentNotBefore(heartbeat.echo()),
+						time);
+				this.echoes.heard(from, heartbeat.sequence());
 				this.revisions[Integer.parseInt(from.host().substring(6))] = heartbeat.revision();
 				configure(heartbeat.revision());
 			}
--- a/masticlane/src/test/java/io/masticlane/share/SimulatedStore.java
+++ b/masticlane/src/test/java/io/masticlane/share/SimulatedStore.java
@@ -70,6 +70,16 @@
 			return call(() -> Optional.ofNullable(SimulatedStore.this.entries.get(key)).map(Held::entry));
 		}
 
+		@Override
+		public CompletableFuture<Long> revision(String key) {
+			return read(key).thenApply((entry) -> entry.map(Entry::revision).orElse(ABSENT));
+		}
+
+		@Override
+		public Watch watch(String key, WatchListener listener) {
+			throw new UnsupportedOperationException("shares are not watched");
+		}
+
 		@Override
 		public CompletableFuture<List<Entry>> list(String prefix) {
 			return call(() -> SimulatedStore.this.entries.values()
