Renew no loan of a share that was handed back

A host that handed a share back had lent more than it still held, and renewals were offered as if nothing were overdrawn, so the excess outlived the time that the share was kept for it. What can be lent is now counted from the share and all other loans.

--- a/masticlane/src/main/java/io/masticlane/limit/Lending.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Lending.java
@@ -32,7 +32,8 @@
 			return refusal(request);
 		}
 		Amount former = share.lent(host, request.former(), now).map(Loan::amount).orElse(Amount.ZERO);
-		Amount offer = offer(share, request, former, now);
+		Amount lendable = share.unlentBesides(host, request.former(), now).minus(floor(share.held(now)));
+		Amount offer = equal(share, request, former, now).atMost(lendable);
 		if (offer.nothing()) {
 			return refusal(request);
 		}
@@ -46,15 +47,14 @@
 		return new Message.LoanGrant(request.loan(), request.limit(), request.revision(), 0, 0, 0, 0);
 	}
 
-	private static Amount offer(LimitShare share, Message.LoanRequest request, Amount former, long now) {
+	private static Amount equal(LimitShare share, Message.LoanRequest request, Amount former, long now) {
 		Amount held = share.held(now);
 		double least = Math.max(LEAST_DEMAND * held.rate(), Double.MIN_NORMAL);
 		double ownDemand = Math.max(share.demand(now), least);
 		double otherDemand = Math.max(request.demand(), least);
 		Amount own = share.usable(now).plus(former).times(otherDemand);
 		Amount others = new Amount(request.rate(), request.burst()).times(ownDemand);
-		Amount equal = own.minus(others).times(1 / (ownDemand + otherDemand));
-		return equal.atMost(share.unlent(now).plus(former).minus(floor(held)));
+		return own.minus(others).times(1 / (ownDemand + otherDemand));
 	}
 
 	private static Amount floor(Amount held) {
--- a/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
+++ b/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
@@ -71,10 +71,10 @@
 		return unlent().plus(total(this.borrowed));
 	}
 
-	// Returns the part of the own share that is not lent.
-	Amount unlent(long now) {
+	// Returns the part of the own share that is not lent besides one loan.
+	Amount unlentBesides(String host, long identifier, long now) {
 		advance(now);
-		return unlent();
+		return this.share.minus(total(this.lent.stream().filter(same(host, identifier).negate()).toList()));
 	}
 
 	// Returns the own share with what is lent of it.
@@ -105,7 +105,8 @@
 	// Lends a part of the unlent share. What a former loan had more is kept apart until
 	// that loan's end, because the borrower may not hear of the change.
 	double lend(Loan loan, long former, long now) {
-		Amount before = unlent(now);
+		advance(now);
+		Amount before = unlent();
 		Optional<Loan> replaced = lent(loan.host(), former, now);
 		this.lent.removeIf(same(loan.host(), former));
 		replaced.map((each) -> new Loan(0, each.host(), each.amount().minus(loan.amount()), each.until()))
