--- a/masticlane/src/main/java/io/masticlane/command/BenchCommand.java
+++ b/masticlane/src/main/java/io/masticlane/command/BenchCommand.java
@@ -7,6 +7,7 @@
 
 import io.masticlane.bench.BenchDeployment;
 import io.masticlane.bench.LoadBenchmark;
+import io.masticlane.bench.Slopes;
 
 /**
  * Runs one part of the benchmarks.
@@ -24,7 +25,7 @@
 
 	@Override
 	public String summary() {
-		return "Runs a part of the benchmarks: platform, requests, look-ups.";
+		return "Runs a part of the benchmarks: platform, requests, look-ups, slopes.";
 	}
 
 	@Override
@@ -36,14 +37,15 @@
 		if (parsed.helped(output, this, "[--rate NUMBER] [--seconds NUMBER] PART")) {
 			return ExitStatus.SUCCESS;
 		}
-		String part = parsed.argument("platform, requests or look-ups");
+		String part = parsed.argument("platform, requests, look-ups or slopes");
 		LoadBenchmark load = new LoadBenchmark(output,
 				TimeUnit.SECONDS.toMillis(parsed.number("seconds", DEFAULT_SECONDS)));
 		boolean right = switch (part) {
 			case "platform" -> platform();
 			case "requests" -> load.requests(parsed.number("rate", DEFAULT_RATE));
 			case "look-ups" -> load.lookUps();
-			default -> throw new UsageException("got '" + part + "', expected platform, requests or look-ups");
+			case "slopes" -> new Slopes(output).print();
+			default -> throw new UsageException("got '" + part + "', expected platform, requests, look-ups or slopes");
 		};
 		return right ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
 	}
