--- a/masticlane/src/test/java/io/masticlane/membership/EntryHostDirectoryTests.java
+++ b/masticlane/src/test/java/io/masticlane/membership/EntryHostDirectoryTests.java
@@ -54,7 +54,7 @@
 	}
 
 	private static EntryHostDirectory.HeardHost heard(String name, double load) {
-		return new EntryHostDirectory.HeardHost(name, "incarnation", load, false);
+		return new EntryHostDirectory.HeardHost(name, "incarnation", load, false, 1);
 	}
 
 }
