--- a/masticlane/src/main/java/io/masticlane/bench/DirectorySlopes.java
+++ b/masticlane/src/main/java/io/masticlane/bench/DirectorySlopes.java
@@ -49,7 +49,7 @@
 			.entryHosts()
 			.stream()
 			.map((host) -> new EntryHostDirectory.HeardHost(host.name(), "0b1f5c1e-7f4d-4d2c-9a51-3f2f6f1f9a10",
-					host.name().hashCode() % 100, false))
+					host.name().hashCode() % 100, false, 100_000))
 			.toList();
 	}
 
