Report how fast error budgets burn, and every entry host's status

A host that does not answer is named, and the exit status says whether a budget burns too fast (5) or a host was silent (1). The status document is printed from a record, no longer joined by hand.

--- a/masticlane/src/main/java/io/masticlane/bench/BenchDeployment.java
+++ b/masticlane/src/main/java/io/masticlane/bench/BenchDeployment.java
@@ -14,6 +14,7 @@
 import io.masticlane.configuration.DataCentre;
 import io.masticlane.configuration.EntryHost;
 import io.masticlane.configuration.HashedKey;
+import io.masticlane.configuration.Objective;
 import io.masticlane.configuration.Organisation;
 import io.masticlane.configuration.Region;
 import io.masticlane.configuration.Route;
@@ -44,6 +45,8 @@
 
 	private static final int SLOTS = 1_000;
 
+	private static final double OBJECTIVE_MILLIS = 5;
+
 	private static final double RATE = 1_000_000;
 
 	private final StoreStandIn store;
@@ -91,6 +94,7 @@
 			.withOrganisations(
 					List.of(Organisation.of("bench", RATE, RATE).withKey(HashedKey.of("bench-1", "benchmark"))))
 			.withServices(List.of(Service.of("ledger", Route.idempotent("GET", "/ledger"))))
+			.withObjectives(List.of(new Objective("ledger", OBJECTIVE_MILLIS, 0.99, 0.001)))
 			.withBackendServers(IntStream.range(0, BACKEND_SERVERS)
 				.mapToObj((index) -> BackendServer.of("ledger-" + index, "ledger", "bench-1",
 						text(backendServer(index)), SLOTS))
--- a/masticlane/src/main/java/io/masticlane/command/ExitStatus.java
+++ b/masticlane/src/main/java/io/masticlane/command/ExitStatus.java
@@ -28,7 +28,12 @@
 	/**
 	 * The change is accepted, but not every entry host confirmed it.
 	 */
-	UNCONFIRMED(4);
+	UNCONFIRMED(4),
+
+	/**
+	 * An error budget burns too fast.
+	 */
+	BUDGET_BURNING(5);
 
 	private final int code;
 
--- a/masticlane/src/main/java/io/masticlane/command/Main.java
+++ b/masticlane/src/main/java/io/masticlane/command/Main.java
@@ -13,7 +13,7 @@
 public final class Main {
 
 	private static final List<Command> COMMANDS = List.of(new EntryCommand(), new ApplyCommand(), new PlanCommand(),
-			new ShowCommand(), new DemoCommand(), new BenchCommand());
+			new ShowCommand(), new DemoCommand(), new BenchCommand(), new ReportCommand(), new StatusCommand());
 
 	private Main() {
 	}
@@ -68,7 +68,7 @@
 		output.println();
 		output.println("masticlane COMMAND --help tells more; masticlane --version prints the version.");
 		output.println("Exit status: 0 success, 1 failure, 2 unacceptable input, 3 conflict with another operator,");
-		output.println("4 accepted but not confirmed by every entry host.");
+		output.println("4 accepted but not confirmed by every entry host, 5 an error budget burns too fast.");
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -30,8 +30,10 @@
 import io.masticlane.operation.OperationLedger;
 import io.masticlane.operation.OwnedOperations;
 import io.masticlane.operation.StoreOperations;
+import io.masticlane.operator.BurnDocument;
 import io.masticlane.operator.Metrics;
 import io.masticlane.operator.OperatorServer;
+import io.masticlane.operator.StatusDocument;
 import io.masticlane.peer.MessageRouter;
 import io.masticlane.peer.Peer;
 import io.masticlane.peer.PeerListener;
@@ -116,6 +118,8 @@
 
 	private volatile WatchRole watchRole = WatchRole.STARTING;
 
+	private volatile List<StatusDocument.PeerStatus> peerStatuses = List.of();
+
 	private volatile boolean leaving;
 
 	private volatile boolean stopping;
@@ -162,7 +166,7 @@
 		this.network.dial(settings.peers());
 		this.callerChannel = this.callers.listen(settings.callerAddress());
 		this.operators = new OperatorServer(settings.operatorAddress(), this.metrics,
-				() -> this.directory != null && !this.leaving, this::status);
+				() -> this.directory != null && !this.leaving, this::status, this::burn);
 		events.record(Event.ENTRY_STARTED, settings.host(), this.self.incarnation());
 	}
 
@@ -242,6 +246,7 @@
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
 		this.metrics.revision(table.revision());
+		this.metrics.burn().configure(table.configuration().objectives());
 		this.callers.configured(table);
 		this.network.dial(peerAddresses(table));
 		sendHeartbeats(System.nanoTime());
@@ -260,6 +265,7 @@
 	private void tick() {
 		long now = System.nanoTime();
 		this.inFlight = this.steering.inFlight();
+		this.peerStatuses = peerStatuses(now);
 		this.operations.tick(now);
 		if (this.configuration.table() != null) {
 			publishDirectory();
@@ -295,12 +301,25 @@
 		}
 	}
 
-	private String status() {
-		long storeAge = this.storeContact.ageMillis(System.nanoTime());
-		return "{\"host\":\"" + this.self.host() + "\",\"incarnation\":\"" + this.self.incarnation()
-				+ "\",\"revision\":" + this.configuration.revision() + ",\"ready\":" + (this.directory != null)
-				+ ",\"leaving\":" + this.leaving + ",\"inFlight\":" + this.inFlight + ",\"storeAgeMillis\":" + storeAge
-				+ "}\n";
+	private StatusDocument status() {
+		long now = System.nanoTime();
+		return new StatusDocument(this.self.host(), this.self.incarnation(), this.configuration.revision(),
+				this.directory != null, this.leaving, this.inFlight, this.storeContact.ageMillis(now), 0,
+				this.peerStatuses);
+	}
+
+	private BurnDocument burn() {
+		RoutingTable table = this.configuration.table();
+		String region = (table != null) ? table.region(this.settings.dataCentre()) : "";
+		return this.metrics.burn().document(this.self.host(), region);
+	}
+
+	private List<StatusDocument.PeerStatus> peerStatuses(long now) {
+		return this.members.heard(now)
+			.stream()
+			.map((member) -> new StatusDocument.PeerStatus(member.host(), member.incarnation(),
+					member.heartbeat().revision(), TimeUnit.NANOSECONDS.toMillis(now - member.heardAt())))
+			.toList();
 	}
 
 	private static void pause(long millis) {
--- a/masticlane/src/main/java/io/masticlane/operator/Metrics.java
+++ b/masticlane/src/main/java/io/masticlane/operator/Metrics.java
@@ -18,6 +18,8 @@
 
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
+	private final BurnRecorder burn = new BurnRecorder(System::currentTimeMillis);
+
 	private final Counter lookUps = Counter.builder()
 		.name("masticlane_look_ups_total")
 		.help("Look-ups answered.")
@@ -58,6 +60,7 @@
 	 */
 	public void request(String service, String organisation, String result, long nanos) {
 		this.requests.labelValues(service, organisation, result).inc();
+		this.burn.request(service, organisation, result, nanos);
 		if (result.equals("answered")) {
 			this.latency.labelValues(service, organisation).observe(nanos / NANOS_PER_SECOND);
 		}
@@ -71,6 +74,14 @@
 		this.revision.set(revision);
 	}
 
+	/**
+	 * Returns the counts of requests for objectives.
+	 * @return the counts of requests for objectives
+	 */
+	public BurnRecorder burn() {
+		return this.burn;
+	}
+
 	/**
 	 * Returns the registry, for metrics of other packages.
 	 * @return the registry
--- a/masticlane/src/main/java/io/masticlane/operator/OperatorServer.java
+++ b/masticlane/src/main/java/io/masticlane/operator/OperatorServer.java
@@ -26,11 +26,12 @@
 	 * @param address the address to listen at
 	 * @param metrics the metrics to render
 	 * @param ready whether the daemon has a configuration in force
-	 * @param status the status as a JSON document
+	 * @param status the status
+	 * @param burn the counts of requests for objectives
 	 * @throws IOException if the address cannot be bound
 	 */
-	public OperatorServer(InetSocketAddress address, Metrics metrics, Supplier<Boolean> ready, Supplier<String> status)
-			throws IOException {
+	public OperatorServer(InetSocketAddress address, Metrics metrics, Supplier<Boolean> ready,
+			Supplier<StatusDocument> status, Supplier<BurnDocument> burn) throws IOException {
 		this.server = HttpServer.create(address, 0);
 		this.server.setExecutor(Executors.newSingleThreadExecutor((task) -> {
 			Thread thread = new Thread(task, "operators");
@@ -42,7 +43,10 @@
 			boolean isReady = ready.get();
 			answer(exchange, isReady ? OK : UNAVAILABLE, text(isReady ? "ready\n" : "no configuration in force\n"));
 		});
-		this.server.createContext("/status", (exchange) -> answer(exchange, OK, text(status.get())));
+		this.server.createContext("/status",
+				(exchange) -> answer(exchange, OK, text(OperatorDocuments.print(status.get()))));
+		this.server.createContext("/burn",
+				(exchange) -> answer(exchange, OK, text(OperatorDocuments.print(burn.get()))));
 		this.server.createContext("/metrics", (exchange) -> answer(exchange, OK, metrics.render()));
 		this.server.start();
 	}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/report/EntryHostClient.java
@@ -0,0 +1,75 @@
+package io.masticlane.report;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.masticlane.operator.OperatorDocuments;
+
+/**
+ * Reads a document from each entry host.
+ */
+public final class EntryHostClient {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(TIMEOUT)
+		.build();
+
+	/**
+	 * Reads a document from each entry host, from all at once.
+	 * @param addresses the operators' addresses of the entry hosts
+	 * @param path the path of the document
+	 * @param type the type of the document
+	 * @param <T> the type of the document
+	 * @return an answer for each address, in their order
+	 */
+	public <T> List<Answer<T>> read(List<String> addresses, String path, Class<T> type) {
+		List<CompletableFuture<Answer<T>>> answers = addresses.stream()
+			.map((address) -> read(address, path, type))
+			.toList();
+		return answers.stream().map(CompletableFuture::join).toList();
+	}
+
+	private <T> CompletableFuture<Answer<T>> read(String address, String path, Class<T> type) {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT).build();
+		return this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+			.thenApply((response) -> new Answer<>(address, Optional.of(parse(response.body(), type)), ""))
+			.exceptionally((failure) -> new Answer<>(address, Optional.empty(), reason(failure)));
+	}
+
+	private static <T> T parse(String text, Class<T> type) {
+		try {
+			return OperatorDocuments.read(text, type);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static String reason(Throwable failure) {
+		Throwable cause = (failure.getCause() != null) ? failure.getCause() : failure;
+		return cause.getClass().getSimpleName();
+	}
+
+	/**
+	 * The answer of one entry host.
+	 *
+	 * @param address the operators' address of the entry host
+	 * @param document the document, or nothing if there was no answer
+	 * @param problem why there is no document
+	 * @param <T> the type of the document
+	 */
+	public record Answer<T>(String address, Optional<T> document, String problem) {
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What operators read of the whole deployment: service-level burn and status.
+ */
+package io.masticlane.report;
