--- a/masticlane/src/main/java/io/masticlane/bench/PeerSlopes.java
+++ b/masticlane/src/main/java/io/masticlane/bench/PeerSlopes.java
@@ -35,7 +35,8 @@
 
 	private static final long DEADLINE_MILLIS = 20_000;
 
-	private static final Message HEARTBEAT = new Message.Heartbeat(100_000, 99_999, 14_000, 250, false, 120, 100_000);
+	private static final Message HEARTBEAT = new Message.Heartbeat(100_000, 99_999, 14_000, 250, false, 120, 100_000,
+			300);
 
 	private static final double NANOS_PER_MICRO = 1e3;
 
