--- a/masticlane/src/main/java/io/masticlane/limit/Borrowing.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Borrowing.java
@@ -36,10 +36,6 @@
 
 	private static final double LEAST_DEMAND = 0.05;
 
-	private static final double LEAST_RESERVE = 2;
-
-	private static final double RESERVE_SECONDS = 0.1;
-
 	private final String limit;
 
 	private final LimitShare share;
@@ -120,12 +116,7 @@
 		double demand = this.share.demand(now);
 		boolean rateNeeded = amount.rate() < RATE_HEADROOM * demand;
 		boolean burstNeeded = amount.burst() < LEAST_BURST + BURST_DEVIATIONS * Math.sqrt(demand);
-		return demand > LEAST_DEMAND && (rateNeeded || burstNeeded || lacking(now) > 0);
-	}
-
-	private double lacking(long now) {
-		double reserve = Math.max(LEAST_RESERVE, RESERVE_SECONDS * this.share.demand(now));
-		return Math.max(0, reserve - this.share.level(now));
+		return demand > LEAST_DEMAND && (rateNeeded || burstNeeded);
 	}
 
 	private Optional<String> nextLender(long now) {
@@ -144,7 +135,7 @@
 		}
 		this.asks.put(loan, new Ask(lender, former, now));
 		this.sender.send(lender, new Message.LoanRequest(loan, this.limit, this.revision, former,
-				this.share.demand(now), besides.rate(), besides.burst(), lacking(now), TERM_MILLIS));
+				this.share.demand(now), besides.rate(), besides.burst(), TERM_MILLIS));
 	}
 
 	private boolean silent(String lender, long now) {
--- a/masticlane/src/main/java/io/masticlane/limit/Lending.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Lending.java
@@ -33,14 +33,12 @@
 		}
 		Amount former = share.lent(host, request.former(), now).map(Loan::amount).orElse(Amount.ZERO);
 		Amount lendable = share.unlentBesides(host, request.former(), now).minus(floor(share.held(now)));
-		double spare = Math.min(request.tokens(), Math.max(0, share.level(now) - ONE_REQUEST));
-		Amount offer = equal(share, request, former, now).atLeast(new Amount(0, former.burst() + spare))
-			.atMost(lendable);
+		Amount offer = equal(share, request, former, now).atMost(lendable);
 		if (offer.nothing()) {
 			return refusal(request);
 		}
 		long until = now + (long) (TimeUnit.MILLISECONDS.toNanos(termMillis) * CLOCK_MARGIN);
-		double tokens = share.lend(new Loan(request.loan(), host, offer, until), request.former(), spare, now);
+		double tokens = share.lend(new Loan(request.loan(), host, offer, until), request.former(), now);
 		return new Message.LoanGrant(request.loan(), request.limit(), request.revision(), offer.rate(), offer.burst(),
 				tokens, termMillis);
 	}
--- a/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
+++ b/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
@@ -104,7 +104,7 @@
 
 	// Lends a part of the unlent share. What a former loan had more is kept apart until
 	// that loan's end, because the borrower may not hear of the change.
-	double lend(Loan loan, long former, double spare, long now) {
+	double lend(Loan loan, long former, long now) {
 		advance(now);
 		Amount before = unlent();
 		Optional<Loan> replaced = lent(loan.host(), former, now);
@@ -113,9 +113,7 @@
 			.filter((each) -> !each.amount().nothing())
 			.ifPresent(this.lent::add);
 		this.lent.add(loan);
-		double level = this.bucket.level(now);
-		double added = Math.max(0, before.burst() - unlent().burst());
-		double tokens = Math.max(level * lentFraction(before), Math.min(level, Math.min(added, spare)));
+		double tokens = this.bucket.level(now) * lentFraction(before);
 		this.bucket.take(tokens, now);
 		revise(now);
 		return tokens;
