Refuse keyed requests where a withdrawal may go unheard

Cause: a host cut from the store and from its peers served withdrawn keys without end. Weighed: refusing unless every configured host is in reach (a store outage and one dead host would stop the whole fleet), and a majority of the configured hosts. Change: KeyFreshness. A process serves keyed routes while it heard the store within stale-millis, or is in touch with a majority; a withdrawal is confirmed once a majority has it in force.

--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -124,13 +124,14 @@
 	}
 
 	/**
-	 * Ends the request if its key is no longer granted. An operation that may have run
-	 * goes on until its answer begins, so that its caller learns the result.
+	 * Ends the request if its key is no longer known to be granted. An operation that may
+	 * have run goes on until its answer begins, so that its caller learns the result.
 	 * @param table the routing table that came into force
 	 */
 	void keysChanged(RoutingTable table) {
-		boolean granted = this.organisation.isEmpty()
-				|| bearer(this.request.headers().get(HttpHeaderNames.AUTHORIZATION, "")).flatMap(table::organisation)
+		boolean stale = this.services.stale().getAsBoolean();
+		boolean granted = this.organisation.isEmpty() || !stale
+				&& bearer(this.request.headers().get(HttpHeaderNames.AUTHORIZATION, "")).flatMap(table::organisation)
 					.filter((found) -> found.name().equals(this.organisation))
 					.isPresent();
 		boolean kept = this.attempt != null && !this.answering && !this.match.route().idempotent();
@@ -142,7 +143,8 @@
 		}
 		else {
 			cancelAttempt();
-			finishWith(Refusal.of(ErrorKind.KEY_REFUSED).withOutcome(Outcome.UNKNOWN));
+			ErrorKind kind = stale ? ErrorKind.STALE : ErrorKind.KEY_REFUSED;
+			finishWith(Refusal.of(kind).withOutcome(Outcome.UNKNOWN));
 			tell(AttemptEnd.ABANDONED);
 		}
 	}
@@ -169,6 +171,9 @@
 
 	private Optional<ErrorKind> checkKeys(RoutingTable table) {
 		Route route = this.match.route();
+		if (route.access() == Route.Access.KEYED && this.services.stale().getAsBoolean()) {
+			return Optional.of(ErrorKind.STALE);
+		}
 		if (route.access() == Route.Access.KEYED) {
 			List<String> presented = this.request.headers().getAll(HttpHeaderNames.AUTHORIZATION);
 			if (presented.isEmpty()) {
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -11,20 +11,22 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.masticlane.backend.Balancer;
 import io.masticlane.caller.CallerServer;
 import io.masticlane.caller.EntryServices;
+import io.masticlane.configuration.EntryHost;
 import io.masticlane.duty.Duty;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
 import io.masticlane.membership.HeartbeatEchoes;
+import io.masticlane.membership.KeyFreshness;
 import io.masticlane.membership.Member;
 import io.masticlane.membership.Members;
-import io.masticlane.membership.StoreContact;
 import io.masticlane.message.Message;
 import io.masticlane.operation.StoreOperations;
 import io.masticlane.operator.Metrics;
@@ -112,10 +114,14 @@
 
 	private volatile int inFlight;
 
-	private final StoreContact storeContact = new StoreContact(System.nanoTime());
+	private final KeyFreshness keyFreshness;
 
 	private final HeartbeatEchoes echoes = new HeartbeatEchoes();
 
+	private boolean servingKeys;
+
+	private StoreRead lastRead = new StoreRead(0, 0);
+
 	private long nextHeartbeat = System.nanoTime();
 
 	/**
@@ -128,6 +134,7 @@
 		this.settings = settings;
 		this.events = events;
 		this.self = new Peer(settings.host(), UUID.randomUUID().toString());
+		this.keyFreshness = new KeyFreshness(settings.staleMillis(), System.nanoTime());
 		this.members = new Members(settings.silenceMillis());
 		this.configuration = new ConfigurationState(events, this::readApart, this::decide, this::inForce);
 		Store store = new EtcdStore(settings.storeAddress(), Duration.ofMillis(settings.storeTimeoutMillis()),
@@ -138,8 +145,9 @@
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
-		EntryServices services = new EntryServices(this.steering, this::decide, this.configuration::table,
-				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
+		EntryServices services = new EntryServices(this.steering, this::decide, this::servedTable,
+				(client) -> this.directory.answer(client), () -> !this.keyFreshness.fresh(System.nanoTime()),
+				() -> this.stopping, this.metrics);
 		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
@@ -196,20 +204,29 @@
 			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
 		}
 		this.echoes.heard(peer, heartbeat.sequence());
-		this.echoes.sentNotBefore(heartbeat.echo())
-			.ifPresent((notBefore) -> this.storeContact.told(notBefore, heartbeat.storeAgeMillis()));
+		this.echoes.sentNotBefore(heartbeat.echo()).ifPresent((notBefore) -> contactTold(peer, heartbeat, notBefore));
 		if (this.configuration.wants(heartbeat.revision())
 				&& this.fetch.asks(peer.host(), heartbeat.revision(), System.nanoTime())) {
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.configuration.revision()));
 		}
 	}
 
+	private void contactTold(Peer peer, Message.Heartbeat heartbeat, long sentNotBefore) {
+		if (!this.configuration.wants(heartbeat.revision())) {
+			this.keyFreshness.peerTold(peer.host(), sentNotBefore, heartbeat.storeAgeMillis());
+		}
+	}
+
 	private void configurationQueried(Peer peer, Message.ConfigurationQuery query) {
 		if (query.revision() < this.configuration.revision()) {
 			this.network.send(peer.host(), this.configuration.push());
 		}
 	}
 
+	private RoutingTable servedTable() {
+		return (this.directory != null) ? this.configuration.table() : null;
+	}
+
 	private boolean readApart(Runnable command) {
 		return this.platform.offer(command);
 	}
@@ -225,8 +242,14 @@
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
 		this.metrics.revision(table.revision());
+		this.keyFreshness
+			.configure(table.configuration().entryHosts().stream().map(EntryHost::name).collect(Collectors.toSet()));
 		this.callers.configured(table);
 		this.network.dial(peerAddresses(table));
+		if (this.lastRead.revision() == table.revision()) {
+			this.keyFreshness.storeAnswered(this.lastRead.askedAt());
+		}
+		updateFreshness(System.nanoTime());
 		sendHeartbeats(System.nanoTime());
 		publishDirectory();
 	}
@@ -246,13 +269,24 @@
 		if (this.configuration.table() != null) {
 			publishDirectory();
 		}
+		updateFreshness(now);
 		this.watchRole = WatchRole.of(this.configuration.table(), this.self.host(),
-				this.members.heard(now).stream().map(Member::host).toList(), this.storeContact.ageMillis(now));
+				this.members.heard(now).stream().map(Member::host).toList(), this.keyFreshness.storeAgeMillis(now));
 		if (now - this.nextHeartbeat >= 0) {
 			sendHeartbeats(now);
 		}
 	}
 
+	private void updateFreshness(long now) {
+		this.keyFreshness.update(this.self.host(), now);
+		boolean fresh = this.keyFreshness.fresh(now);
+		if (fresh != this.servingKeys && this.configuration.table() != null) {
+			this.servingKeys = fresh;
+			this.events.record(fresh ? Event.KEYS_FRESH : Event.KEYS_STALE);
+			this.callers.configured(this.configuration.table());
+		}
+	}
+
 	private void sendHeartbeats(long now) {
 		this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
 		long sequence = this.echoes.next(now);
@@ -261,10 +295,13 @@
 
 	private Message.Heartbeat heartbeat(Peer peer, long sequence, long now) {
 		return new Message.Heartbeat(sequence, this.echoes.echo(peer), this.configuration.revision(),
-				this.storeContact.ageMillis(now), this.leaving, this.inFlight);
+				this.keyFreshness.storeAgeMillis(now), this.leaving, this.inFlight);
 	}
 
 	private void publishDirectory() {
+		if (this.directory == null && !this.servingKeys) {
+			return;
+		}
 		RoutingTable table = this.configuration.table();
 		EntryHostDirectory.HeardHost own = new EntryHostDirectory.HeardHost(this.self.host(), this.self.incarnation(),
 				this.inFlight, this.leaving);
@@ -275,7 +312,7 @@
 	}
 
 	private String status() {
-		long storeAge = this.storeContact.ageMillis(System.nanoTime());
+		long storeAge = this.keyFreshness.storeAgeMillis(System.nanoTime());
 		return "{\"host\":\"" + this.self.host() + "\",\"incarnation\":\"" + this.self.incarnation()
 				+ "\",\"revision\":" + this.configuration.revision() + ",\"ready\":" + (this.directory != null)
 				+ ",\"leaving\":" + this.leaving + ",\"inFlight\":" + this.inFlight + ",\"storeAgeMillis\":" + storeAge
@@ -309,8 +346,19 @@
 	private final class DecidingStoreListener implements StoreWatch.Listener {
 
 		@Override
-		public void answered(long askedAt) {
-			EntryDaemon.this.decisions.offer(() -> EntryDaemon.this.storeContact.answered(askedAt));
+		public void answered(long askedAt, boolean newer) {
+			EntryDaemon.this.decisions.offer(() -> {
+				if (!newer) {
+					EntryDaemon.this.keyFreshness.storeAnswered(askedAt);
+				}
+			});
+		}
+
+		@Override
+		public void read(Store.Entry entry, long askedAt) {
+			EntryDaemon.this.decisions
+				.offer(() -> EntryDaemon.this.lastRead = new StoreRead(entry.revision(), askedAt));
+			written(entry);
 		}
 
 		@Override
@@ -339,4 +387,13 @@
 
 	}
 
+	/**
+	 * A revision that was read from the store.
+	 *
+	 * @param revision the revision
+	 * @param askedAt the time of the question in nanoseconds
+	 */
+	private record StoreRead(long revision, long askedAt) {
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
+++ b/masticlane/src/main/java/io/masticlane/entry/StoreWatch.java
@@ -32,6 +32,8 @@
 
 	private long nextPoll = System.nanoTime();
 
+	private long polledFor;
+
 	private Store.Watch watch;
 
 	private long watched;
@@ -65,6 +67,10 @@
 			closeWatch();
 		}
 		long now = System.nanoTime();
+		if (this.settled.getAsLong() != this.polledFor) {
+			this.polledFor = this.settled.getAsLong();
+			this.nextPoll = now;
+		}
 		if (this.waiting || !current.polls() || now - this.nextPoll < 0) {
 			return;
 		}
@@ -83,11 +89,14 @@
 		if (failure != null) {
 			return;
 		}
-		this.listener.answered(askedAt);
+		boolean newer = revision > this.settled.getAsLong();
+		this.listener.answered(askedAt, newer);
 		noteReverted(revision);
 		replaceSilentWatch(revision);
-		if (revision > this.settled.getAsLong()) {
-			this.store.read(this.key).thenAccept((entry) -> entry.ifPresent(this.listener::written));
+		if (newer) {
+			long readAt = System.nanoTime();
+			this.store.read(this.key)
+				.thenAccept((entry) -> entry.ifPresent((found) -> this.listener.read(found, readAt)));
 		}
 	}
 
@@ -187,11 +196,19 @@
 		/**
 		 * Receives the fact that the store answered.
 		 * @param askedAt the time of the question in nanoseconds
+		 * @param newer whether it has a revision that is not in force yet
+		 */
+		void answered(long askedAt, boolean newer);
+
+		/**
+		 * Receives the configuration that was read.
+		 * @param entry the entry of the configuration
+		 * @param askedAt the time of the question in nanoseconds
 		 */
-		void answered(long askedAt);
+		void read(Store.Entry entry, long askedAt);
 
 		/**
-		 * Receives a configuration.
+		 * Receives a configuration that was written.
 		 * @param entry the entry of the configuration
 		 */
 		void written(Store.Entry entry);
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -30,6 +30,16 @@
 	 */
 	CONFIGURATION_REJECTED(2002, Severity.WARNING, "revision {} from {} was rejected: {}"),
 
+	/**
+	 * An entry host stopped serving keyed routes.
+	 */
+	KEYS_STALE(2003, Severity.WARNING, "keyed requests are refused: neither the store nor a majority is heard"),
+
+	/**
+	 * An entry host serves keyed routes again.
+	 */
+	KEYS_FRESH(2004, Severity.INFORMATION, "keyed requests are served"),
+
 	/**
 	 * The store stopped answering.
 	 */
--- a/masticlane/src/main/java/io/masticlane/membership/StoreContact.java
+++ b/masticlane/src/main/java/io/masticlane/membership/StoreContact.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The last time at which the platform's store was certainly heard, by this entry host or
- * by one that told it so.
+ * The last time since the start of this process at which the platform's store was
+ * certainly heard, by this entry host or by one that told it so.
  */
 public final class StoreContact {
 
@@ -13,6 +13,8 @@
 	 */
 	public static final long NEVER_MILLIS = TimeUnit.DAYS.toMillis(365);
 
+	private final long startedAt;
+
 	private volatile long heardAt;
 
 	/**
@@ -20,6 +22,7 @@
 	 * @param now the present in nanoseconds
 	 */
 	public StoreContact(long now) {
+		this.startedAt = now;
 		this.heardAt = now - TimeUnit.MILLISECONDS.toNanos(NEVER_MILLIS);
 	}
 
@@ -34,7 +37,8 @@
 
 	/**
 	 * Receives what a peer tells of its own contact. A message may have been under way
-	 * for long, so the age counts from a time before which it cannot have been sent.
+	 * for long, so the age counts from a time before which it cannot have been sent. A
+	 * contact from before this process started does not count.
 	 * @param sentNotBefore the time before which the peer cannot have sent it, in
 	 * nanoseconds
 	 * @param ageMillis the age that the peer tells
@@ -54,7 +58,7 @@
 	}
 
 	private void advance(long time) {
-		if (time - this.heardAt > 0) {
+		if (time - this.startedAt >= 0 && time - this.heardAt > 0) {
 			this.heardAt = time;
 		}
 	}
--- a/masticlane/src/main/java/io/masticlane/setting/EntrySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/EntrySettings.java
@@ -18,6 +18,8 @@
  * @param storeTimeoutMillis The time after which a call to the store has failed.
  * @param heartbeatMillis The interval between heartbeats to a peer.
  * @param silenceMillis The silence after which a connection counts as lost.
+ * @param staleMillis The time without the store and without a majority of entry hosts
+ * after which keyed requests are refused.
  * @param drainMillis The longest time that a planned stop waits for requests in flight.
  * @param lookUpTtlMillis The time to live of a look-up's answer.
  * @param maximumBodyBytes The largest request body that is carried.
@@ -25,7 +27,7 @@
 public record EntrySettings(String host, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress peerAddress, InetSocketAddress operatorAddress, InetSocketAddress storeAddress,
 		String storePrefix, List<InetSocketAddress> peers, int storeTimeoutMillis, int heartbeatMillis,
-		int silenceMillis, int drainMillis, int lookUpTtlMillis, int maximumBodyBytes) {
+		int silenceMillis, int staleMillis, int drainMillis, int lookUpTtlMillis, int maximumBodyBytes) {
 
 	/**
 	 * The descriptors of every setting of this group.
@@ -52,6 +54,8 @@
 					"The interval between heartbeats to a peer."),
 			new Setting("silence-millis", "MASTICLANE_SILENCE_MILLIS", "integer", "2500", 200L, 60000L,
 					"The silence after which a connection counts as lost."),
+			new Setting("stale-millis", "MASTICLANE_STALE_MILLIS", "integer", "5000", 1000L, 86400000L,
+					"The time without the store and without a majority of entry hosts after which keyed requests are refused."),
 			new Setting("drain-millis", "MASTICLANE_DRAIN_MILLIS", "integer", "15000", 0L, 600000L,
 					"The longest time that a planned stop waits for requests in flight."),
 			new Setting("look-up-ttl-millis", "MASTICLANE_LOOK_UP_TTL_MILLIS", "integer", "5000", 100L, 600000L,
@@ -68,7 +72,8 @@
 		return new EntrySettings(source.string("host"), source.string("data-centre"), source.address("caller-address"),
 				source.address("peer-address"), source.address("operator-address"), source.address("store-address"),
 				source.string("store-prefix"), source.addresses("peers"), source.integer("store-timeout-millis"),
-				source.integer("heartbeat-millis"), source.integer("silence-millis"), source.integer("drain-millis"),
-				source.integer("look-up-ttl-millis"), source.integer("maximum-body-bytes"));
+				source.integer("heartbeat-millis"), source.integer("silence-millis"), source.integer("stale-millis"),
+				source.integer("drain-millis"), source.integer("look-up-ttl-millis"),
+				source.integer("maximum-body-bytes"));
 	}
 }
