--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -142,13 +142,14 @@
 	}
 
 	/**
-	 * Ends the request if its key is no longer granted. An operation that may have run
-	 * goes on until its answer begins, so that its caller learns the result.
+	 * Ends the request if its key is no longer known to be granted. An operation that may
+	 * have run goes on until its answer begins, so that its caller learns the result.
 	 * @param table the routing table that came into force
 	 */
 	void keysChanged(RoutingTable table) {
 		boolean kept = this.attempt != null && !this.answering && !idempotent();
-		if (this.done || kept || this.check.granted(this.request, table)) {
+		boolean stale = this.check.keyed() && this.services.stale().getAsBoolean();
+		if (this.done || kept || !stale && this.check.granted(this.request, table)) {
 			return;
 		}
 		boolean sent = cancelAttempt();
@@ -156,7 +157,8 @@
 			end(AttemptEnd.ABANDONED);
 		}
 		else {
-			finishWith(Refusal.of(ErrorKind.KEY_REFUSED).withOutcome(Outcome.UNKNOWN));
+			ErrorKind kind = stale ? ErrorKind.STALE : ErrorKind.KEY_REFUSED;
+			finishWith(Refusal.of(kind).withOutcome(Outcome.UNKNOWN));
 			tell(sent ? AttemptEnd.ABANDONED : AttemptEnd.WITHDRAWN);
 		}
 	}
--- a/masticlane/src/main/java/io/masticlane/caller/RequestCheck.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestCheck.java
@@ -36,7 +36,7 @@
 			return refused(ErrorKind.NOT_READY);
 		}
 		return table.match(request.method().name(), path(request))
-			.map((match) -> checkKeys(request, table, match))
+			.map((match) -> checkKeys(request, services, table, match))
 			.orElse(refused(ErrorKind.NO_ROUTE));
 	}
 
@@ -51,6 +51,10 @@
 					.isPresent();
 	}
 
+	boolean keyed() {
+		return !this.organisation.isEmpty();
+	}
+
 	/**
 	 * Tells whether a request names an operation, well-formed or not.
 	 */
@@ -58,13 +62,17 @@
 		return request.headers().contains(Headers.IDEMPOTENCY_KEY);
 	}
 
-	private static RequestCheck checkKeys(FullHttpRequest request, RoutingTable table, RoutingTable.Match match) {
+	private static RequestCheck checkKeys(FullHttpRequest request, EntryServices services, RoutingTable table,
+			RoutingTable.Match match) {
 		if (MisplacedKeys.in(request, table)) {
 			return refused(ErrorKind.KEY_MISPLACED).with(match);
 		}
 		if (match.route().access() == Route.Access.OPEN) {
 			return checkOperation(request, match, "");
 		}
+		if (services.stale().getAsBoolean()) {
+			return refused(ErrorKind.STALE).with(match);
+		}
 		List<String> presented = request.headers().getAll(HttpHeaderNames.AUTHORIZATION);
 		if (presented.isEmpty()) {
 			return refused(ErrorKind.KEY_MISSING).with(match);
