Queue requests fairly before shares of the backend servers' slots

Cause: every entry host counted its own requests alone and chose the same least loaded servers, so seven of them overloaded each server and relied on shedding; a request that found no slot was refused at once.

Change: the slots of a server are divided over the entry hosts of its region; beyond its share an entry host overflows within a window that shedding and reports of load shrink. A bounded line for each organisation, served in turn, holds requests until a slot is free. Retries stay within a budget of each organisation, and an attempt outside the own share takes its retry ahead. An idempotent request that was lost is no longer refused as not run.

--- a/masticlane/src/main/java/io/masticlane/backend/Balancer.java
+++ b/masticlane/src/main/java/io/masticlane/backend/Balancer.java
@@ -1,91 +1,73 @@
 package io.masticlane.backend;
 
-import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.route.RoutingTable;
 import io.masticlane.steering.AttemptEnd;
-import org.agrona.collections.Object2IntHashMap;
 
 /**
- * Chooses a backend server for each attempt.
+ * Chooses a backend server for each attempt; used on the decisions' thread alone.
  */
 public interface Balancer {
 
 	/**
 	 * Takes a configuration into account.
 	 * @param table the routing table of the configuration
+	 * @param now the present in nanoseconds
 	 */
-	void configure(RoutingTable table);
+	void configure(RoutingTable table, long now);
 
 	/**
 	 * Chooses a backend server and takes one of its slots.
-	 * @param service the name of the service
-	 * @param tried the names of backend servers that the request has tried
+	 * @param demand what the attempt needs
+	 * @param now the present in nanoseconds
 	 * @return the backend server, or nothing if none has a free slot
 	 */
-	Optional<BackendServer> choose(String service, Set<String> tried);
+	Optional<Choice> choose(Demand demand, long now);
 
 	/**
 	 * Gives back the slot of an attempt.
 	 * @param server the backend server
 	 * @param end how the attempt ended
+	 * @param now the present in nanoseconds
 	 */
-	void release(BackendServer server, AttemptEnd end);
+	void release(BackendServer server, AttemptEnd end, long now);
 
 	/**
-	 * Prefers the own region, then the smallest part of slots in use.
+	 * Receives what a backend server tells of itself.
+	 * @param server the name of the backend server
+	 * @param report the report
+	 * @param now the present in nanoseconds
 	 */
-	final class LeastLoaded implements Balancer {
-
-		private final String dataCentre;
-
-		private final Object2IntHashMap<String> inUse = new Object2IntHashMap<>(0);
-
-		private RoutingTable table;
-
-		/**
-		 * Creates a new balancer.
-		 * @param dataCentre the data centre of this entry host
-		 */
-		public LeastLoaded(String dataCentre) {
-			this.dataCentre = dataCentre;
-		}
-
-		@Override
-		public void configure(RoutingTable table) {
-			this.table = table;
-		}
-
-		@Override
-		public Optional<BackendServer> choose(String service, Set<String> tried) {
-			Optional<BackendServer> chosen = this.table.backendServers(service)
-				.stream()
-				.filter((server) -> !server.leaving() && !tried.contains(server.name()))
-				.filter((server) -> this.inUse.getValue(server.name()) < server.slots())
-				.min(Comparator.comparing((BackendServer server) -> !local(server))
-					.thenComparing((server) -> (double) this.inUse.getValue(server.name()) / server.slots()));
-			chosen.ifPresent((server) -> this.inUse.put(server.name(), this.inUse.getValue(server.name()) + 1));
-			return chosen;
-		}
-
-		@Override
-		public void release(BackendServer server, AttemptEnd end) {
-			int remaining = this.inUse.getValue(server.name()) - 1;
-			if (remaining > 0) {
-				this.inUse.put(server.name(), remaining);
-			}
-			else {
-				this.inUse.remove(server.name());
-			}
-		}
+	void report(String server, BackendReport report, long now);
 
-		private boolean local(BackendServer server) {
-			return this.table.region(server.dataCentre()).equals(this.table.region(this.dataCentre));
-		}
+	/**
+	 * What an attempt needs.
+	 *
+	 * @param service the name of the service
+	 * @param tried the names of backend servers that the request has tried, which come
+	 * last
+	 * @param speculative whether a slot may be taken that is perhaps in use
+	 * @param regions the regions that may be used, in the order of preference
+	 * @param admits whether a region has capacity for the attempt; asked at most once for
+	 * each region, and only when a slot is free there
+	 */
+	record Demand(String service, Set<String> tried, boolean speculative, List<String> regions,
+			Predicate<String> admits) {
+	}
 
+	/**
+	 * A chosen backend server.
+	 *
+	 * @param server the backend server
+	 * @param speculative whether the slot is perhaps in use, so that the attempt may be
+	 * shed
+	 */
+	record Choice(BackendServer server, boolean speculative) {
 	}
 
 }
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/ServerSlots.java
@@ -0,0 +1,202 @@
+package io.masticlane.backend;
+
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.configuration.BackendServer;
+import io.masticlane.steering.AttemptEnd;
+
+/**
+ * The slots of one backend server as this entry host may use them: its own share, and
+ * beyond it an overflow window that grows with answers and shrinks with shedding. Reports
+ * of the backend server lower what may be used and never raise it.
+ */
+final class ServerSlots {
+
+	private static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	private static final long SHORTEST_BACK_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final long SHORTEST_OVERFLOW_BACK_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final int MOST_DOUBLINGS = 6;
+
+	private static final int FAILURES_OF_COLD_SERVER = 3;
+
+	private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private static final long LEAVING_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+	private static final int RESERVED_PART = 4;
+
+	private BackendServer server;
+
+	private int[] share;
+
+	private int connectionShare;
+
+	private int inUse;
+
+	private double overflow = 1;
+
+	private long overflowBackOffUntil;
+
+	private int overflowFailures;
+
+	private int failures;
+
+	private int sheds;
+
+	private long backOffUntil;
+
+	private long rampUntil;
+
+	private long leavingUntil;
+
+	private BackendReport report = BackendReport.NONE;
+
+	private long reportedAt;
+
+	ServerSlots(boolean cold, long now) {
+		this.backOffUntil = now;
+		this.overflowBackOffUntil = now;
+		this.rampUntil = cold ? now + RAMP_NANOS : now;
+		this.leavingUntil = now;
+		this.reportedAt = now;
+	}
+
+	void configure(BackendServer server, int[] share, int connectionShare, long now) {
+		if (this.server != null && !this.server.address().equals(server.address())) {
+			this.rampUntil = now + RAMP_NANOS;
+			this.leavingUntil = now;
+		}
+		this.server = server;
+		this.share = share;
+		this.connectionShare = connectionShare;
+	}
+
+	BackendServer server() {
+		return this.server;
+	}
+
+	int inUse() {
+		return this.inUse;
+	}
+
+	double used() {
+		return (double) this.inUse / this.server.slots();
+	}
+
+	boolean open(long now) {
+		return !this.server.leaving() && this.leavingUntil - now <= 0 && this.backOffUntil - now <= 0
+				&& this.inUse < this.connectionShare;
+	}
+
+	boolean ownSlotFree(long now) {
+		return this.inUse < ownSlots(now);
+	}
+
+	boolean overflowFree(long now) {
+		int others = this.server.slots() - this.share.length;
+		int window = Math.min(others, (int) this.overflow);
+		return !ramping(now) && this.overflowBackOffUntil - now <= 0 && this.inUse < this.share.length + window
+				&& !reportedBusy(now);
+	}
+
+	/**
+	 * Takes a slot.
+	 * @param now the present in nanoseconds
+	 * @return whether the slot lies outside the own share
+	 */
+	boolean take(long now) {
+		boolean overflowing = !ownSlotFree(now);
+		this.inUse++;
+		return overflowing;
+	}
+
+	void release(AttemptEnd end, long now) {
+		boolean overflowing = this.inUse > this.share.length;
+		this.inUse--;
+		switch (end) {
+			case ANSWERED -> answered(overflowing, now);
+			case SHED -> shed(overflowing, now);
+			case LOST, NOT_SENT -> failed(now);
+			case TIMED_OUT, ABANDONED -> {
+			}
+		}
+	}
+
+	void report(BackendReport report, long now) {
+		this.report = report;
+		this.reportedAt = now;
+		if (report.leaving()) {
+			this.leavingUntil = now + LEAVING_NANOS;
+		}
+	}
+
+	private int ownSlots(long now) {
+		int bound = ramping(now) ? rampedSlots(now) : this.server.slots();
+		int own = (int) Arrays.stream(this.share).filter((slot) -> slot < bound).count();
+		if (own > 0 && reportFresh(now) && this.report.slots() < this.server.slots()) {
+			return Math.max(1, own * this.report.slots() / this.server.slots());
+		}
+		return own;
+	}
+
+	private boolean ramping(long now) {
+		return this.rampUntil - now > 0;
+	}
+
+	private int rampedSlots(long now) {
+		long elapsed = RAMP_NANOS - (this.rampUntil - now);
+		return (int) Math.max(1, this.server.slots() * elapsed / RAMP_NANOS);
+	}
+
+	private boolean reportFresh(long now) {
+		return now - this.reportedAt < REPORT_NANOS;
+	}
+
+	private boolean reportedBusy(long now) {
+		int reserved = Math.max(1, this.server.slots() / RESERVED_PART);
+		int slots = Math.min(this.server.slots(), this.report.slots());
+		return reportFresh(now) && this.report.inUse() >= slots - reserved;
+	}
+
+	private void answered(boolean overflowing, long now) {
+		if (this.failures >= FAILURES_OF_COLD_SERVER) {
+			this.rampUntil = now + RAMP_NANOS;
+		}
+		this.failures = 0;
+		this.sheds = 0;
+		if (overflowing && reportedBusy(now)) {
+			backOffOverflow(now);
+		}
+		else if (overflowing) {
+			this.overflowFailures = 0;
+			this.overflow = Math.min(this.server.slots(), this.overflow + 1 / this.overflow);
+		}
+	}
+
+	private void shed(boolean overflowing, long now) {
+		backOffOverflow(now);
+		if (!overflowing) {
+			backOff(this.sheds++, now);
+		}
+	}
+
+	private void failed(long now) {
+		this.overflow = 1;
+		backOff(this.failures++, now);
+	}
+
+	private void backOffOverflow(long now) {
+		this.overflow = Math.max(1, this.overflow / 2);
+		this.overflowBackOffUntil = now
+				+ (SHORTEST_OVERFLOW_BACK_OFF_NANOS << Math.min(this.overflowFailures++, MOST_DOUBLINGS));
+	}
+
+	private void backOff(int former, long now) {
+		this.backOffUntil = now + (SHORTEST_BACK_OFF_NANOS << Math.min(former, MOST_DOUBLINGS));
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/SlotBalancer.java
@@ -0,0 +1,95 @@
+package io.masticlane.backend;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.masticlane.configuration.BackendServer;
+import io.masticlane.route.RoutingTable;
+import io.masticlane.steering.AttemptEnd;
+
+/**
+ * Takes the slots that belong to this entry host before it overflows into those of
+ * others, region by region.
+ */
+public final class SlotBalancer implements Balancer {
+
+	/**
+	 * The connection pools of an entry host, one for each event loop of callers.
+	 */
+	private static final int POOLS = 2;
+
+	private final String entryHost;
+
+	private final Map<String, ServerSlots> slots = new HashMap<>();
+
+	private Map<String, Map<String, List<ServerSlots>>> byServiceAndRegion = Map.of();
+
+	private boolean configured;
+
+	/**
+	 * Creates a new balancer.
+	 * @param entryHost the name of this entry host
+	 */
+	public SlotBalancer(String entryHost) {
+		this.entryHost = entryHost;
+	}
+
+	@Override
+	public void configure(RoutingTable table, long now) {
+		List<BackendServer> servers = table.configuration().backendServers();
+		int entryHosts = Math.max(1, table.configuration().entryHosts().size());
+		servers.forEach(
+				(server) -> this.slots.computeIfAbsent(server.name(), (name) -> new ServerSlots(this.configured, now))
+					.configure(server, SlotShares.of(table, server, this.entryHost),
+							Math.max(1, server.connections() / entryHosts / POOLS), now));
+		Set<String> names = servers.stream().map(BackendServer::name).collect(Collectors.toSet());
+		this.slots.values().removeIf((each) -> each.inUse() == 0 && !names.contains(each.server().name()));
+		this.byServiceAndRegion = servers.stream()
+			.collect(Collectors.groupingBy(BackendServer::service,
+					Collectors.groupingBy((server) -> table.region(server.dataCentre()),
+							Collectors.mapping((server) -> this.slots.get(server.name()), Collectors.toList()))));
+		this.configured = true;
+	}
+
+	@Override
+	public Optional<Choice> choose(Demand demand, long now) {
+		Map<String, List<ServerSlots>> byRegion = this.byServiceAndRegion.getOrDefault(demand.service(), Map.of());
+		return demand.regions()
+			.stream()
+			.flatMap((region) -> best(byRegion.getOrDefault(region, List.of()), demand, now).stream()
+				.filter((slots) -> demand.admits().test(region)))
+			.findFirst()
+			.map((slots) -> new Choice(slots.server(), slots.take(now)));
+	}
+
+	@Override
+	public void release(BackendServer server, AttemptEnd end, long now) {
+		ServerSlots released = this.slots.get(server.name());
+		if (released != null) {
+			released.release(end, now);
+		}
+	}
+
+	@Override
+	public void report(String server, BackendReport report, long now) {
+		ServerSlots reported = this.slots.get(server);
+		if (reported != null) {
+			reported.report(report, now);
+		}
+	}
+
+	private static Optional<ServerSlots> best(List<ServerSlots> servers, Demand demand, long now) {
+		return servers.stream()
+			.filter((slots) -> slots.open(now)
+					&& (slots.ownSlotFree(now) || (demand.speculative() && slots.overflowFree(now))))
+			.min(Comparator.comparing((ServerSlots slots) -> demand.tried().contains(slots.server().name()))
+				.thenComparing((slots) -> !slots.ownSlotFree(now))
+				.thenComparingDouble(ServerSlots::used));
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/backend/SlotShares.java
@@ -0,0 +1,58 @@
+package io.masticlane.backend;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import io.masticlane.configuration.BackendServer;
+import io.masticlane.configuration.EntryHost;
+import io.masticlane.route.RoutingTable;
+
+/**
+ * Divides the slots of each backend server over the configured entry hosts. Every entry
+ * host computes the same division, in which each slot belongs to exactly one of them.
+ */
+final class SlotShares {
+
+	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+	private static final long FNV_PRIME = 0x100000001b3L;
+
+	private SlotShares() {
+	}
+
+	/**
+	 * Returns the numbers of the slots that belong to an entry host. The entry hosts in
+	 * the region of the backend server share its slots, or all if none stands there.
+	 * @param table the routing table of the configuration
+	 * @param server the backend server
+	 * @param entryHost the name of the entry host
+	 * @return the numbers of the slots, ascending from zero
+	 */
+	static int[] of(RoutingTable table, BackendServer server, String entryHost) {
+		List<String> ranked = sharing(table, server).stream()
+			.sorted(Comparator.comparingLong((String host) -> hash(server.name() + '/' + host))
+				.thenComparing(Comparator.naturalOrder()))
+			.toList();
+		int rank = ranked.indexOf(entryHost);
+		return (rank < 0) ? new int[0]
+				: IntStream.iterate(rank, (slot) -> slot < server.slots(), (slot) -> slot + ranked.size()).toArray();
+	}
+
+	private static List<String> sharing(RoutingTable table, BackendServer server) {
+		String region = table.region(server.dataCentre());
+		List<EntryHost> all = table.configuration().entryHosts();
+		List<String> local = all.stream()
+			.filter((host) -> table.region(host.dataCentre()).equals(region))
+			.map(EntryHost::name)
+			.toList();
+		return local.isEmpty() ? all.stream().map(EntryHost::name).toList() : local;
+	}
+
+	private static long hash(String text) {
+		long hash = text.chars().asLongStream().reduce(FNV_OFFSET, (state, next) -> (state ^ next) * FNV_PRIME);
+		hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+		return hash ^ (hash >>> 33);
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -8,6 +8,7 @@
 
 import io.masticlane.backend.AnswerReceiver;
 import io.masticlane.backend.BackendConnections;
+import io.masticlane.backend.BackendReport;
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.configuration.Organisation;
 import io.masticlane.configuration.Route;
@@ -184,7 +185,7 @@
 			tell(AttemptEnd.NOT_SENT);
 			return;
 		}
-		this.attempt = new Attempt();
+		this.attempt = new Attempt(server.name());
 		this.connections.send(server, outbound(server), this.attempt);
 	}
 
@@ -256,6 +257,21 @@
 		this.services.metrics().request(service, this.organisation, result, System.nanoTime() - this.started);
 	}
 
+	/**
+	 * Hands on what a backend server tells of itself; it tells again with its next
+	 * answer.
+	 * @param server the name of the backend server
+	 * @param head the head of its answer
+	 */
+	private void report(String server, HttpResponse head) {
+		BackendReport report = BackendReport.parse(head.headers().get(BackendReport.LOAD_HEADER, ""),
+				head.headers().get(BackendReport.STATE_HEADER, ""));
+		head.headers().remove(BackendReport.LOAD_HEADER).remove(BackendReport.STATE_HEADER);
+		if (report != BackendReport.NONE) {
+			this.services.decisions().test(() -> this.services.steering().reported(server, report, System.nanoTime()));
+		}
+	}
+
 	private void tell(AttemptEnd end) {
 		boolean accepted = this.services.decisions()
 			.test(() -> this.services.steering().attemptEnded(this.flight, end, System.nanoTime()));
@@ -269,12 +285,18 @@
 	 */
 	private final class Attempt implements AnswerReceiver {
 
+		private final String server;
+
 		private final String requestId = Long.toString(REQUEST_IDS.incrementAndGet());
 
 		private Channel connection;
 
 		private boolean shed;
 
+		private Attempt(String server) {
+			this.server = server;
+		}
+
 		@Override
 		public void sent(Channel connection) {
 			this.connection = connection;
@@ -288,6 +310,7 @@
 			if (Exchange.this.attempt != this) {
 				return;
 			}
+			report(this.server, head);
 			String echoed = head.headers().get(Headers.REQUEST_ID, this.requestId);
 			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-import io.masticlane.backend.Balancer;
+import io.masticlane.backend.SlotBalancer;
 import io.masticlane.caller.CallerServer;
 import io.masticlane.caller.EntryServices;
 import io.masticlane.configuration.EntryHost;
@@ -37,6 +37,7 @@
 import io.masticlane.route.RoutingTable;
 import io.masticlane.setting.EntrySettings;
 import io.masticlane.setting.SettingSource;
+import io.masticlane.steering.RegionOrder;
 import io.masticlane.steering.Steering;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -56,7 +57,9 @@
 
 	private static final long PLATFORM_TICK_MILLIS = 500;
 
-	private static final long DECISIONS_TICK_MILLIS = 100;
+	private static final long DECISIONS_TICK_MILLIS = 10;
+
+	private static final long DIRECTORY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private static final long DRAIN_STEP_MILLIS = 20;
 
@@ -108,6 +111,8 @@
 
 	private long nextHeartbeat = System.nanoTime();
 
+	private long nextDirectory = System.nanoTime();
+
 	/**
 	 * Creates a new daemon and starts it.
 	 * @param settings the settings
@@ -126,7 +131,7 @@
 				events);
 		this.steering = new Steering(new Limits.EqualShares(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
-				new Balancer.LeastLoaded(settings.dataCentre()));
+				new SlotBalancer(settings.host()), new RegionOrder.NearestFirst(settings.dataCentre()));
 		registerHandlers();
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
@@ -230,8 +235,10 @@
 
 	private void tick() {
 		long now = System.nanoTime();
+		this.steering.tick(now);
 		this.inFlight = this.steering.inFlight();
-		if (this.configuration.table() != null) {
+		if (this.configuration.table() != null && now - this.nextDirectory >= 0) {
+			this.nextDirectory = now + DIRECTORY_NANOS;
 			publishDirectory();
 		}
 		if (now - this.nextHeartbeat >= 0) {
--- a/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -82,7 +82,7 @@
 			.stream()
 			.collect(Collectors.toMap(EntryHost::name, Function.identity()));
 		Comparator<HeardHost> order = Comparator.comparing(HeardHost::leaving)
-			.thenComparing((host) -> distance(table, region, table.region(configured.get(host.host()).dataCentre())))
+			.thenComparing((host) -> table.distance(region, table.region(configured.get(host.host()).dataCentre())))
 			.thenComparing(HeardHost::load)
 			.thenComparing(HeardHost::host);
 		String list = hosts.stream()
@@ -100,19 +100,6 @@
 				+ "\",\"leaving\":" + heard.leaving() + "}";
 	}
 
-	private static double distance(RoutingTable table, String from, String to) {
-		if (from.equals(to)) {
-			return 0;
-		}
-		return table.configuration()
-			.links()
-			.stream()
-			.filter((link) -> link.joins(from, to))
-			.mapToDouble((link) -> link.roundTripMillis())
-			.min()
-			.orElse(Double.MAX_VALUE);
-	}
-
 	/**
 	 * An entry host that is heard.
 	 *
--- a/masticlane/src/main/java/io/masticlane/route/RoutingTable.java
+++ b/masticlane/src/main/java/io/masticlane/route/RoutingTable.java
@@ -11,6 +11,7 @@
 import io.masticlane.configuration.Configuration;
 import io.masticlane.configuration.DataCentre;
 import io.masticlane.configuration.HashedKey;
+import io.masticlane.configuration.Link;
 import io.masticlane.configuration.Organisation;
 import io.masticlane.configuration.Route;
 import io.masticlane.configuration.Service;
@@ -121,6 +122,25 @@
 		return this.regions.getOrDefault(dataCentre, "");
 	}
 
+	/**
+	 * Returns the round-trip time between two regions.
+	 * @param from one region
+	 * @param to another region
+	 * @return the round-trip time in milliseconds, zero within a region, or the largest
+	 * number if no link joins them
+	 */
+	public double distance(String from, String to) {
+		if (from.equals(to)) {
+			return 0;
+		}
+		return this.configuration.links()
+			.stream()
+			.filter((link) -> link.joins(from, to))
+			.mapToDouble(Link::roundTripMillis)
+			.min()
+			.orElse(Double.MAX_VALUE);
+	}
+
 	/**
 	 * A route and the service that it leads to.
 	 *
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/Dispatcher.java
@@ -0,0 +1,218 @@
+package io.masticlane.steering;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import io.masticlane.backend.Balancer;
+import io.masticlane.failure.ErrorKind;
+import io.masticlane.failure.Outcome;
+import io.masticlane.failure.Refusal;
+
+/**
+ * Holds requests in a fair queue for each service until a backend server has a free slot,
+ * and allows retries within a budget of each organisation.
+ */
+final class Dispatcher {
+
+	private static final int QUEUE_CAPACITY = 128;
+
+	private static final int MAXIMUM_ATTEMPTS = 4;
+
+	private static final long LONGEST_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	/**
+	 * The time before a deadline in which no attempt is begun.
+	 */
+	private static final long LEAST_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
+	private static final long RETRY_AFTER_MILLIS = 500;
+
+	private final Balancer balancer;
+
+	private final RegionOrder regions;
+
+	private final BiConsumer<Flight, Refusal> refuse;
+
+	private final Map<String, ServiceQueue> queues = new HashMap<>();
+
+	private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+	/**
+	 * Creates a new dispatcher.
+	 * @param balancer the choice between backend servers
+	 * @param regions the choice between regions
+	 * @param refuse refuses a request that no backend server has
+	 */
+	Dispatcher(Balancer balancer, RegionOrder regions, BiConsumer<Flight, Refusal> refuse) {
+		this.balancer = balancer;
+		this.regions = regions;
+		this.refuse = refuse;
+	}
+
+	/**
+	 * Dispatches a request for the first time, or queues it.
+	 * @param flight the request
+	 * @param now the present in nanoseconds
+	 */
+	void dispatch(Flight flight, long now) {
+		budget(flight).attempted();
+		flight.queue(now);
+		ServiceQueue queue = queue(flight);
+		if (queue.waiting.offer(flight.arrival().organisation(), flight)) {
+			serve(queue, now);
+		}
+		else {
+			this.refuse.accept(flight, overloaded(flight));
+		}
+	}
+
+	/**
+	 * Dispatches a request again, which comes before the others of its organisation.
+	 * @param flight the request
+	 * @param now the present in nanoseconds
+	 */
+	void retry(Flight flight, long now) {
+		if (flight.attempts() < MAXIMUM_ATTEMPTS && retryTaken(flight)) {
+			ServiceQueue queue = queue(flight);
+			queue.waiting.putBack(flight.arrival().organisation(), flight);
+			queue.blocked = false;
+			serve(queue, now);
+		}
+		else {
+			this.refuse.accept(flight, overloaded(flight));
+		}
+	}
+
+	/**
+	 * Ends the last attempt of a request that is not tried again.
+	 * @param flight the request
+	 */
+	void settle(Flight flight) {
+		if (flight.retryReserved()) {
+			flight.reserveRetry(false);
+			budget(flight).giveBack();
+		}
+	}
+
+	/**
+	 * Forgets a request that may be queued.
+	 * @param flight the request
+	 */
+	void forget(Flight flight) {
+		queue(flight).waiting.removeIf((each) -> each == flight);
+	}
+
+	/**
+	 * Dispatches queued requests of a service after one of its slots became free.
+	 * @param service the name of the service
+	 * @param now the present in nanoseconds
+	 */
+	void serve(String service, long now) {
+		ServiceQueue queue = this.queues.get(service);
+		if (queue != null) {
+			queue.blocked = false;
+			serve(queue, now);
+		}
+	}
+
+	/**
+	 * Refuses queued requests whose time is over, and dispatches those that can be.
+	 * @param now the present in nanoseconds
+	 */
+	void tick(long now) {
+		this.queues.values().forEach((queue) -> {
+			queue.waiting.removeIf((flight) -> expired(flight, now))
+				.forEach((flight) -> this.refuse.accept(flight, expiry(flight, now)));
+			queue.blocked = false;
+			serve(queue, now);
+		});
+	}
+
+	/**
+	 * Returns the number of queued requests.
+	 * @return the number of queued requests
+	 */
+	int queued() {
+		return this.queues.values().stream().mapToInt((queue) -> queue.waiting.size()).sum();
+	}
+
+	private void serve(ServiceQueue queue, long now) {
+		while (!queue.blocked) {
+			queue.blocked = !queue.waiting.serve((flight) -> begin(flight, now));
+		}
+	}
+
+	/**
+	 * Begins an attempt, if a slot is free. An attempt in a slot that may be in use takes
+	 * its retry ahead, so that it is never refused for being shed.
+	 * @param flight the request
+	 * @param now the present in nanoseconds
+	 * @return whether the request left the queue
+	 */
+	private boolean begin(Flight flight, long now) {
+		if (expired(flight, now)) {
+			this.refuse.accept(flight, expiry(flight, now));
+			return true;
+		}
+		String service = flight.arrival().match().service().name();
+		boolean speculative = flight.attempts() + 1 < MAXIMUM_ATTEMPTS && budget(flight).available();
+		Balancer.Demand demand = new Balancer.Demand(service, flight.tried(), speculative,
+				this.regions.order(service, now), (region) -> this.regions.admits(region, now));
+		Optional<Balancer.Choice> choice = this.balancer.choose(demand, now);
+		choice.ifPresent((chosen) -> {
+			flight.reserveRetry(chosen.speculative() && budget(flight).take());
+			flight.assign(chosen.server());
+			flight.arrival().carrier().dispatch(chosen.server());
+		});
+		return choice.isPresent();
+	}
+
+	private boolean retryTaken(Flight flight) {
+		boolean reserved = flight.retryReserved();
+		flight.reserveRetry(false);
+		return reserved || budget(flight).take();
+	}
+
+	private ServiceQueue queue(Flight flight) {
+		return this.queues.computeIfAbsent(flight.arrival().match().service().name(), (name) -> new ServiceQueue());
+	}
+
+	private RetryBudget budget(Flight flight) {
+		return this.budgets.computeIfAbsent(flight.arrival().organisation(), (name) -> new RetryBudget());
+	}
+
+	private static boolean expired(Flight flight, long now) {
+		return flight.arrival().deadline() - now < LEAST_TIME_NANOS || now - flight.queuedAt() > LONGEST_WAIT_NANOS;
+	}
+
+	private static Refusal expiry(Flight flight, long now) {
+		if (flight.arrival().deadline() - now < LEAST_TIME_NANOS) {
+			Refusal refusal = Refusal.of(ErrorKind.DEADLINE_EXCEEDED);
+			return flight.mayHaveRun() ? refusal : refusal.withOutcome(Outcome.NOT_RUN);
+		}
+		return overloaded(flight);
+	}
+
+	private static Refusal overloaded(Flight flight) {
+		return flight.mayHaveRun() ? Refusal.of(ErrorKind.BACKEND_LOST)
+				: Refusal.of(ErrorKind.OVERLOADED).withRetryAfterMillis(RETRY_AFTER_MILLIS);
+	}
+
+	/**
+	 * The queue of one service.
+	 */
+	private static final class ServiceQueue {
+
+		private final FairQueue<Flight> waiting = new FairQueue<>(QUEUE_CAPACITY);
+
+		/**
+		 * Whether no backend server could take the entry whose turn it is.
+		 */
+		private boolean blocked;
+
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/steering/Flight.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Flight.java
@@ -17,6 +17,14 @@
 
 	private BackendServer server;
 
+	private long queuedAt;
+
+	private int attempts;
+
+	private boolean retryReserved;
+
+	private boolean mayHaveRun;
+
 	private boolean claimed;
 
 	private boolean ended;
@@ -33,15 +41,56 @@
 		return this.tried;
 	}
 
+	/**
+	 * Returns the backend server of the attempt under way.
+	 * @return the backend server, or {@code null} between attempts
+	 */
 	BackendServer server() {
 		return this.server;
 	}
 
+	int attempts() {
+		return this.attempts;
+	}
+
 	void assign(BackendServer server) {
 		this.server = server;
+		this.attempts++;
 		this.tried.add(server.name());
 	}
 
+	void unassign() {
+		this.server = null;
+	}
+
+	/**
+	 * Tells whether a retry was taken from the budget ahead of the attempt under way.
+	 * @return whether a retry is reserved
+	 */
+	boolean retryReserved() {
+		return this.retryReserved;
+	}
+
+	void reserveRetry(boolean reserved) {
+		this.retryReserved = reserved;
+	}
+
+	long queuedAt() {
+		return this.queuedAt;
+	}
+
+	void queue(long now) {
+		this.queuedAt = now;
+	}
+
+	boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
+	void mayRun() {
+		this.mayHaveRun = true;
+	}
+
 	boolean claimed() {
 		return this.claimed;
 	}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/steering/RetryBudget.java
@@ -0,0 +1,49 @@
+package io.masticlane.steering;
+
+/**
+ * Allows retries in proportion to first attempts, so that failures never multiply the
+ * load.
+ */
+final class RetryBudget {
+
+	private static final double RETRIES_PER_ATTEMPT = 0.1;
+
+	private static final double MOST_SAVED_RETRIES = 10;
+
+	private double retries = MOST_SAVED_RETRIES;
+
+	/**
+	 * Counts a first attempt.
+	 */
+	void attempted() {
+		this.retries = Math.min(MOST_SAVED_RETRIES, this.retries + RETRIES_PER_ATTEMPT);
+	}
+
+	/**
+	 * Tells whether a retry is left.
+	 * @return whether a retry is left
+	 */
+	boolean available() {
+		return this.retries >= 1;
+	}
+
+	/**
+	 * Takes a retry, if one is left.
+	 * @return whether the request may be tried again
+	 */
+	boolean take() {
+		if (!available()) {
+			return false;
+		}
+		this.retries--;
+		return true;
+	}
+
+	/**
+	 * Gives back a retry that was not needed.
+	 */
+	void giveBack() {
+		this.retries = Math.min(MOST_SAVED_RETRIES, this.retries + 1);
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -1,9 +1,7 @@
 package io.masticlane.steering;
 
-import java.util.Optional;
-
+import io.masticlane.backend.BackendReport;
 import io.masticlane.backend.Balancer;
-import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Refusal;
 import io.masticlane.limit.Limits;
@@ -11,19 +9,21 @@
 import io.masticlane.route.RoutingTable;
 
 /**
- * Decides on every request: admission, claim, choice of a backend server and retries.
- * Used on the decisions' thread alone; time comes with each call.
+ * Decides on every request: admission, claim, queueing, choice of a backend server and
+ * retries. Used on the decisions' thread alone; time comes with each call.
  */
 public final class Steering {
 
-	private static final int MAXIMUM_ATTEMPTS = 3;
-
 	private final Limits limits;
 
 	private final Operations operations;
 
 	private final Balancer balancer;
 
+	private final RegionOrder regions;
+
+	private final Dispatcher dispatcher;
+
 	private int inFlight;
 
 	/**
@@ -31,11 +31,14 @@
 	 * @param limits the fleet-wide limits
 	 * @param operations the operations that run at most once
 	 * @param balancer the choice between backend servers
+	 * @param regions the choice between regions
 	 */
-	public Steering(Limits limits, Operations operations, Balancer balancer) {
+	public Steering(Limits limits, Operations operations, Balancer balancer, RegionOrder regions) {
 		this.limits = limits;
 		this.operations = operations;
 		this.balancer = balancer;
+		this.regions = regions;
+		this.dispatcher = new Dispatcher(balancer, regions, this::notRun);
 	}
 
 	/**
@@ -45,7 +48,9 @@
 	 */
 	public void configure(RoutingTable table, long now) {
 		this.limits.configure(table.configuration(), table.revision(), now);
-		this.balancer.configure(table);
+		this.regions.configure(table);
+		this.balancer.configure(table, now);
+		this.dispatcher.tick(now);
 	}
 
 	/**
@@ -61,7 +66,7 @@
 			refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED));
 		}
 		else if (arrival.idempotent()) {
-			dispatch(flight, now);
+			this.dispatcher.dispatch(flight, now);
 		}
 		else {
 			this.operations.claim(arrival.organisation(), arrival.operation(),
@@ -71,7 +76,8 @@
 	}
 
 	/**
-	 * Decides how a request goes on after an attempt ended.
+	 * Decides how a request goes on after an attempt ended, or after its caller went away
+	 * before one.
 	 * @param flight the state of the request
 	 * @param end how the attempt ended
 	 * @param now the present in nanoseconds
@@ -80,15 +86,38 @@
 		if (flight.ended()) {
 			return;
 		}
-		if (flight.server() != null) {
-			this.balancer.release(flight.server(), end);
+		if (flight.server() == null) {
+			withdrawn(flight);
+			return;
 		}
+		this.balancer.release(flight.server(), end, now);
+		flight.unassign();
 		switch (end) {
 			case ANSWERED, ABANDONED -> finish(flight);
-			case NOT_SENT, SHED -> retry(flight, now);
+			case NOT_SENT, SHED -> this.dispatcher.retry(flight, now);
 			case LOST -> lost(flight, now);
 			case TIMED_OUT -> refuse(flight, Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
 		}
+		this.dispatcher.serve(flight.arrival().match().service().name(), now);
+	}
+
+	/**
+	 * Receives what a backend server tells of itself.
+	 * @param server the name of the backend server
+	 * @param report the report
+	 * @param now the present in nanoseconds
+	 */
+	public void reported(String server, BackendReport report, long now) {
+		this.balancer.report(server, report, now);
+	}
+
+	/**
+	 * Lets time pass: queued requests expire, and backed-off backend servers are used
+	 * again.
+	 * @param now the present in nanoseconds
+	 */
+	public void tick(long now) {
+		this.dispatcher.tick(now);
 	}
 
 	/**
@@ -99,6 +128,14 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Returns the requests that wait for a slot.
+	 * @return the requests that wait for a slot
+	 */
+	public int queued() {
+		return this.dispatcher.queued();
+	}
+
 	private boolean admitted(Arrival arrival, long now) {
 		return arrival.organisation().isEmpty()
 				|| this.limits.take(Limits.ofOrganisation(arrival.organisation()), 1, now);
@@ -113,49 +150,38 @@
 		}
 		else if (granted) {
 			flight.claim();
-			dispatch(flight, now);
+			this.dispatcher.dispatch(flight, now);
 		}
 		else {
 			refuse(flight, Refusal.of(ErrorKind.OPERATION_UNKNOWN));
 		}
 	}
 
-	private void dispatch(Flight flight, long now) {
-		Arrival arrival = flight.arrival();
-		Optional<BackendServer> server = (arrival.deadline() - now > 0)
-				? this.balancer.choose(arrival.match().service().name(), flight.tried()) : Optional.empty();
-		if (server.isPresent()) {
-			flight.assign(server.get());
-			arrival.carrier().dispatch(server.get());
+	private void lost(Flight flight, long now) {
+		flight.mayRun();
+		if (flight.arrival().idempotent()) {
+			this.dispatcher.retry(flight, now);
 		}
 		else {
-			notRun(flight);
+			refuse(flight, Refusal.of(ErrorKind.BACKEND_LOST));
 		}
 	}
 
-	private void retry(Flight flight, long now) {
-		if (flight.tried().size() < MAXIMUM_ATTEMPTS) {
-			dispatch(flight, now);
-		}
-		else {
-			notRun(flight);
-		}
+	private void withdrawn(Flight flight) {
+		this.dispatcher.forget(flight);
+		release(flight);
+		finish(flight);
 	}
 
-	private void lost(Flight flight, long now) {
-		if (flight.arrival().idempotent()) {
-			retry(flight, now);
-		}
-		else {
-			refuse(flight, Refusal.of(ErrorKind.BACKEND_LOST));
-		}
+	private void notRun(Flight flight, Refusal refusal) {
+		release(flight);
+		refuse(flight, refusal);
 	}
 
-	private void notRun(Flight flight) {
+	private void release(Flight flight) {
 		if (flight.claimed()) {
 			this.operations.release(flight.arrival().organisation(), flight.arrival().operation());
 		}
-		refuse(flight, Refusal.of(ErrorKind.OVERLOADED));
 	}
 
 	private void refuse(Flight flight, Refusal refusal) {
@@ -164,6 +190,7 @@
 	}
 
 	private void finish(Flight flight) {
+		this.dispatcher.settle(flight);
 		flight.end();
 		this.inFlight--;
 	}
--- a/masticlane/src/test/java/io/masticlane/benchmark/FairnessBenchmark.java
+++ b/masticlane/src/test/java/io/masticlane/benchmark/FairnessBenchmark.java
@@ -60,6 +60,7 @@
 					IntStream.range(0, ENTRY_HOSTS).toArray()));
 		}
 		TimeUnit.SECONDS.sleep(seconds);
+		loads.forEach(LoadGenerator::stop);
 		loads.forEach(LoadGenerator::finish);
 		LoadGenerator worst = loads.stream()
 			.limit(Fleet.ORGANISATIONS.size() - 1)
--- a/masticlane/src/test/java/io/masticlane/benchmark/LoadGenerator.java
+++ b/masticlane/src/test/java/io/masticlane/benchmark/LoadGenerator.java
@@ -64,11 +64,18 @@
 		return load;
 	}
 
+	/**
+	 * Stops sending.
+	 */
+	public void stop() {
+		this.finished = true;
+	}
+
 	/**
 	 * Stops sending and waits for the answers under way.
 	 */
 	public void finish() {
-		this.finished = true;
+		stop();
 		Await.until("every request is answered", () -> !this.thread.isAlive() && this.unanswered.get() == 0);
 	}
 
