--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -15,7 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import io.masticlane.backend.Balancer;
+import io.masticlane.backend.SlotBalancer;
 import io.masticlane.caller.CallerServer;
 import io.masticlane.caller.EntryServices;
 import io.masticlane.configuration.EntryHost;
@@ -46,6 +46,7 @@
 import io.masticlane.route.RoutingTable;
 import io.masticlane.setting.EntrySettings;
 import io.masticlane.setting.SettingSource;
+import io.masticlane.steering.RegionOrder;
 import io.masticlane.steering.Steering;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -65,7 +66,9 @@
 
 	private static final long PLATFORM_TICK_MILLIS = 250;
 
-	private static final long DECISIONS_TICK_MILLIS = 100;
+	private static final long DECISIONS_TICK_MILLIS = 10;
+
+	private static final long DIRECTORY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
 	private static final long DRAIN_STEP_MILLIS = 20;
 
@@ -138,6 +141,8 @@
 
 	private long nextHeartbeat = System.nanoTime();
 
+	private long nextDirectory = System.nanoTime();
+
 	/**
 	 * Creates a new daemon and starts it.
 	 * @param settings the settings
@@ -159,8 +164,8 @@
 		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				System.nanoTime());
-		this.steering = new Steering(new Limits.EqualShares(), this.operations,
-				new Balancer.LeastLoaded(settings.dataCentre()));
+		this.steering = new Steering(new Limits.EqualShares(), this.operations, new SlotBalancer(settings.host()),
+				new RegionOrder.NearestFirst(settings.dataCentre()));
 		registerHandlers();
 		EntryServices services = new EntryServices(this.steering, this::decide, this::servedTable,
 				(client) -> this.directory.answer(client), () -> !this.keyFreshness.fresh(System.nanoTime()),
@@ -287,10 +292,12 @@
 
 	private void tick() {
 		long now = System.nanoTime();
+		this.steering.tick(now);
 		this.inFlight = this.steering.inFlight();
 		this.peerStatuses = peerStatuses(now);
 		this.operations.tick(now);
-		if (this.configuration.table() != null) {
+		if (this.configuration.table() != null && now - this.nextDirectory >= 0) {
+			this.nextDirectory = now + DIRECTORY_NANOS;
 			publishDirectory();
 		}
 		updateFreshness(now);
