--- a/masticlane/src/main/java/io/masticlane/steering/Flight.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Flight.java
@@ -20,6 +20,12 @@
 
 	private BackendServer server;
 
+	private long queuedAt;
+
+	private int attempts;
+
+	private boolean retryReserved;
+
 	private Operations.Grant grant = Operations.Grant.NoOp.INSTANCE;
 
 	private Optional<RecordedAnswer> answer = Optional.empty();
@@ -42,15 +48,48 @@
 		return this.tried;
 	}
 
+	/**
+	 * Returns the backend server of the attempt under way.
+	 * @return the backend server, or {@code null} between attempts
+	 */
 	BackendServer server() {
 		return this.server;
 	}
 
+	int attempts() {
+		return this.attempts;
+	}
+
 	void assign(BackendServer server) {
 		this.server = server;
+		this.attempts++;
 		this.tried.add(server.name());
 	}
 
+	void unassign() {
+		this.server = null;
+	}
+
+	/**
+	 * Tells whether a retry was taken from the budget ahead of the attempt under way.
+	 * @return whether a retry is reserved
+	 */
+	boolean retryReserved() {
+		return this.retryReserved;
+	}
+
+	void reserveRetry(boolean reserved) {
+		this.retryReserved = reserved;
+	}
+
+	long queuedAt() {
+		return this.queuedAt;
+	}
+
+	void queue(long now) {
+		this.queuedAt = now;
+	}
+
 	/**
 	 * Records the answer, to be given again to a later attempt at the operation.
 	 * @param answer the whole answer
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -1,11 +1,10 @@
 package io.masticlane.steering;
 
 import java.util.EnumSet;
-import java.util.Optional;
 import java.util.Set;
 
+import io.masticlane.backend.BackendReport;
 import io.masticlane.backend.Balancer;
-import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Outcome;
 import io.masticlane.failure.Refusal;
@@ -14,13 +13,11 @@
 import io.masticlane.route.RoutingTable;
 
 /**
- * Decides on every request: admission, claim, choice of a backend server and retries.
- * Used on the decisions' thread alone; time comes with each call.
+ * Decides on every request: admission, claim, queueing, choice of a backend server and
+ * retries. Used on the decisions' thread alone; time comes with each call.
  */
 public final class Steering {
 
-	private static final int MAXIMUM_ATTEMPTS = 3;
-
 	private static final Set<AttemptEnd> RUN = EnumSet.of(AttemptEnd.ANSWERED, AttemptEnd.LOST, AttemptEnd.TIMED_OUT,
 			AttemptEnd.ABANDONED);
 
@@ -30,6 +27,10 @@
 
 	private final Balancer balancer;
 
+	private final RegionOrder regions;
+
+	private final Dispatcher dispatcher;
+
 	private int inFlight;
 
 	/**
@@ -37,11 +38,14 @@
 	 * @param limits the fleet-wide limits
 	 * @param operations the operations that run at most once
 	 * @param balancer the choice between backend servers
+	 * @param regions the choice between regions
 	 */
-	public Steering(Limits limits, Operations operations, Balancer balancer) {
+	public Steering(Limits limits, Operations operations, Balancer balancer, RegionOrder regions) {
 		this.limits = limits;
 		this.operations = operations;
 		this.balancer = balancer;
+		this.regions = regions;
+		this.dispatcher = new Dispatcher(balancer, regions, this::refuse);
 	}
 
 	/**
@@ -51,7 +55,9 @@
 	 */
 	public void configure(RoutingTable table, long now) {
 		this.limits.configure(table.configuration(), table.revision(), now);
-		this.balancer.configure(table);
+		this.regions.configure(table);
+		this.balancer.configure(table, now);
+		this.dispatcher.tick(now);
 	}
 
 	/**
@@ -67,7 +73,7 @@
 			refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED));
 		}
 		else if (arrival.idempotent()) {
-			dispatch(flight, now);
+			this.dispatcher.dispatch(flight, now);
 		}
 		else {
 			this.operations.claim(arrival.operation(), now, (verdict, at) -> claimed(flight, verdict, at));
@@ -76,7 +82,8 @@
 	}
 
 	/**
-	 * Decides how a request goes on after an attempt ended.
+	 * Decides how a request goes on after an attempt ended, or after its caller went away
+	 * before one.
 	 * @param flight the state of the request
 	 * @param end how the attempt ended
 	 * @param now the present in nanoseconds
@@ -85,18 +92,36 @@
 		if (flight.ended()) {
 			return;
 		}
-		if (flight.server() != null) {
-			this.balancer.release(flight.server(), end);
-		}
+		freeSlot(flight, end, now);
 		if (RUN.contains(end)) {
 			flight.run();
 		}
 		switch (end) {
 			case ANSWERED, ABANDONED -> finish(flight);
-			case NOT_SENT, SHED -> retry(flight, now);
-			case LOST -> lost(flight, now);
+			case NOT_SENT, SHED -> this.dispatcher.retry(flight);
+			case LOST -> lost(flight);
 			case TIMED_OUT, WITHDRAWN -> refuse(flight, Refusal.of(ErrorKind.DEADLINE_EXCEEDED));
 		}
+		this.dispatcher.serve(flight.arrival().match().service().name(), now);
+	}
+
+	/**
+	 * Receives what a backend server tells of itself.
+	 * @param server the name of the backend server
+	 * @param report the report
+	 * @param now the present in nanoseconds
+	 */
+	public void reported(String server, BackendReport report, long now) {
+		this.balancer.report(server, report, now);
+	}
+
+	/**
+	 * Lets time pass: queued requests expire, and backed-off backend servers are used
+	 * again.
+	 * @param now the present in nanoseconds
+	 */
+	public void tick(long now) {
+		this.dispatcher.tick(now);
 	}
 
 	/**
@@ -107,6 +132,14 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Returns the requests that wait for a slot.
+	 * @return the requests that wait for a slot
+	 */
+	public int queued() {
+		return this.dispatcher.queued();
+	}
+
 	private boolean admitted(Arrival arrival, long now) {
 		return arrival.organisation().isEmpty()
 				|| this.limits.take(Limits.ofOrganisation(arrival.organisation()), 1, now);
@@ -120,7 +153,7 @@
 		switch (verdict.kind()) {
 			case GRANTED -> {
 				flight.granted(verdict.grant());
-				dispatch(flight, now);
+				this.dispatcher.dispatch(flight, now);
 			}
 			case ANSWERED -> replay(flight, verdict);
 			case RUNNING -> refuse(flight, Refusal.of(ErrorKind.OPERATION_RUNNING));
@@ -138,41 +171,25 @@
 		verdict.answer().ifPresent(flight.arrival().carrier()::replay);
 	}
 
-	private void dispatch(Flight flight, long now) {
-		Arrival arrival = flight.arrival();
-		Optional<BackendServer> server = (arrival.deadline() - now > 0)
-				? this.balancer.choose(arrival.match().service().name(), flight.tried()) : Optional.empty();
-		if (server.isPresent()) {
-			flight.assign(server.get());
-			arrival.carrier().dispatch(server.get());
-		}
-		else {
-			notRun(flight);
-		}
-	}
-
-	private void retry(Flight flight, long now) {
-		if (flight.tried().size() < MAXIMUM_ATTEMPTS) {
-			dispatch(flight, now);
-		}
-		else {
-			notRun(flight);
+	private void freeSlot(Flight flight, AttemptEnd end, long now) {
+		if (flight.server() == null) {
+			this.dispatcher.forget(flight);
+			return;
 		}
+		this.balancer.release(flight.server(), end, now);
+		this.dispatcher.attemptEnded(flight);
+		flight.unassign();
 	}
 
-	private void lost(Flight flight, long now) {
+	private void lost(Flight flight) {
 		if (flight.arrival().idempotent()) {
-			retry(flight, now);
+			this.dispatcher.retry(flight);
 		}
 		else {
 			refuse(flight, Refusal.of(ErrorKind.BACKEND_LOST));
 		}
 	}
 
-	private void notRun(Flight flight) {
-		refuse(flight, Refusal.of(ErrorKind.OVERLOADED));
-	}
-
 	private void refuse(Flight flight, Refusal refusal) {
 		Outcome outcome = knownNotRun(flight) ? Outcome.NOT_RUN : Outcome.UNKNOWN;
 		finish(flight);
@@ -195,6 +212,7 @@
 	}
 
 	private void finish(Flight flight) {
+		this.dispatcher.settle(flight);
 		flight.end();
 		this.inFlight--;
 	}
