--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -6,6 +6,7 @@
 
 import io.masticlane.backend.AnswerReceiver;
 import io.masticlane.backend.BackendConnections;
+import io.masticlane.backend.BackendReport;
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Outcome;
@@ -142,13 +143,14 @@
 	}
 
 	/**
-	 * Ends the request if its key is no longer granted. An operation that may have run
-	 * goes on until its answer begins, so that its caller learns the result.
+	 * Ends the request if its key is no longer known to be granted. An operation that may
+	 * have run goes on until its answer begins, so that its caller learns the result.
 	 * @param table the routing table that came into force
 	 */
 	void keysChanged(RoutingTable table) {
 		boolean kept = this.attempt != null && !this.answering && !idempotent();
-		if (this.done || kept || this.check.granted(this.request, table)) {
+		boolean stale = this.check.keyed() && this.services.stale().getAsBoolean();
+		if (this.done || kept || !stale && this.check.granted(this.request, table)) {
 			return;
 		}
 		boolean sent = cancelAttempt();
@@ -156,7 +158,8 @@
 			end(AttemptEnd.ABANDONED);
 		}
 		else {
-			finishWith(Refusal.of(ErrorKind.KEY_REFUSED).withOutcome(Outcome.UNKNOWN));
+			ErrorKind kind = stale ? ErrorKind.STALE : ErrorKind.KEY_REFUSED;
+			finishWith(Refusal.of(kind).withOutcome(Outcome.UNKNOWN));
 			tell(sent ? AttemptEnd.ABANDONED : AttemptEnd.WITHDRAWN);
 		}
 	}
@@ -266,6 +269,21 @@
 		this.services.metrics().request(service, this.check.organisation(), result, System.nanoTime() - this.started);
 	}
 
+	/**
+	 * Hands on what a backend server tells of itself; it tells again with its next
+	 * answer.
+	 * @param server the name of the backend server
+	 * @param head the head of its answer
+	 */
+	private void report(String server, HttpResponse head) {
+		BackendReport report = BackendReport.parse(head.headers().get(BackendReport.LOAD_HEADER, ""),
+				head.headers().get(BackendReport.STATE_HEADER, ""));
+		head.headers().remove(BackendReport.LOAD_HEADER).remove(BackendReport.STATE_HEADER);
+		if (report != BackendReport.NONE) {
+			this.services.decisions().test(() -> this.services.steering().reported(server, report, System.nanoTime()));
+		}
+	}
+
 	private void tell(AttemptEnd end) {
 		tell(() -> this.services.steering().attemptEnded(this.flight, end, System.nanoTime()));
 	}
@@ -318,6 +336,7 @@
 			if (!current()) {
 				return;
 			}
+			report(this.server.name(), head);
 			this.heard = true;
 			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
