--- a/masticlane/src/main/java/io/masticlane/command/Main.java
+++ b/masticlane/src/main/java/io/masticlane/command/Main.java
@@ -13,7 +13,8 @@
 public final class Main {
 
 	private static final List<Command> COMMANDS = List.of(new EntryCommand(), new ApplyCommand(), new PlanCommand(),
-			new ShowCommand(), new DemoCommand(), new BenchCommand(), new ReportCommand(), new StatusCommand());
+			new ShowCommand(), new DemoCommand(), new BenchCommand(), new ReportCommand(), new StatusCommand(),
+			new DrainCommand());
 
 	private Main() {
 	}
