--- a/configuration/src/main/java/io/masticlane/configuration/ConfigurationDocument.java
+++ b/configuration/src/main/java/io/masticlane/configuration/ConfigurationDocument.java
@@ -16,9 +16,10 @@
 public final class ConfigurationDocument {
 
 	/**
-	 * The largest document in bytes, the largest value of the store.
+	 * The largest document in bytes: the store's largest value of a megabyte, less the
+	 * room for the envelope that the document is stored in.
 	 */
-	public static final int MAXIMUM_BYTES = 1024 * 1024;
+	public static final int MAXIMUM_BYTES = 1_000_000 - 4_096;
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.enable(SerializationFeature.INDENT_OUTPUT)
--- a/masticlane/src/main/java/io/masticlane/command/Arguments.java
+++ b/masticlane/src/main/java/io/masticlane/command/Arguments.java
@@ -43,10 +43,21 @@
 			return new Arguments(parser, parser.parse(arguments.toArray(String[]::new)));
 		}
 		catch (OptionException ex) {
-			throw new UsageException(ex.getMessage() + "; try --help");
+			throw new UsageException("--" + String.join(", --", ex.options()) + ": " + ex.getMessage()
+					+ ", expected one of " + String.join(", ", flags(parser)) + "; try --help");
 		}
 	}
 
+	private static List<String> flags(OptionParser parser) {
+		return parser.recognizedOptions()
+			.keySet()
+			.stream()
+			.filter((name) -> !name.startsWith("["))
+			.sorted()
+			.map((name) -> "--" + name)
+			.toList();
+	}
+
 	static Arguments parseSettings(List<String> arguments, List<Setting> settings) {
 		return parse(
 				arguments, (
--- a/masticlane/src/main/java/io/masticlane/command/PlanCommand.java
+++ b/masticlane/src/main/java/io/masticlane/command/PlanCommand.java
@@ -1,15 +1,12 @@
 package io.masticlane.command;
 
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 
 import io.masticlane.configuration.Configuration;
 import io.masticlane.configuration.ConfigurationChanges;
 import io.masticlane.configuration.ConfigurationDocument;
-import io.masticlane.platform.ConfigurationEnvelope;
 import io.masticlane.platform.Store;
 
 /**
@@ -33,12 +30,13 @@
 		if (parsed.helped(output, this, "--store-address ADDRESS FILE")) {
 			return ExitStatus.SUCCESS;
 		}
-		Configuration next = ConfigurationDocument
-			.read(Files.readAllBytes(Path.of(parsed.argument("the file of the printed configuration"))));
+		Configuration next = ConfigurationDocument.read(StoreAccess.document(parsed));
 		StoreAccess access = StoreAccess.of(parsed);
 		Optional<Store.Entry> entry = access.store().read(access.key()).join();
-		Configuration present = entry.map((found) -> ConfigurationEnvelope.decode(found.value()).configuration())
-			.orElseGet(() -> Configuration.named(next.name()));
+		Configuration present = entry.flatMap(StoreAccess::readable).orElseGet(() -> Configuration.named(next.name()));
+		if (entry.isPresent() && StoreAccess.readable(entry.get()).isEmpty()) {
+			output.println("the present configuration is not readable; every part counts as added");
+		}
 		List<String> changes = ConfigurationChanges.between(present, next);
 		changes.forEach(output::println);
 		output.println(changes.size() + " changes; apply with --expect "
--- a/masticlane/src/main/java/io/masticlane/command/StoreAccess.java
+++ b/masticlane/src/main/java/io/masticlane/command/StoreAccess.java
@@ -1,8 +1,15 @@
 package io.masticlane.command;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ForkJoinPool;
 
+import io.masticlane.configuration.Configuration;
+import io.masticlane.configuration.ConfigurationDocument;
+import io.masticlane.configuration.ConfigurationException;
 import io.masticlane.platform.ConfigurationEnvelope;
 import io.masticlane.platform.EtcdStore;
 import io.masticlane.platform.Store;
@@ -40,6 +47,39 @@
 		return new StoreAccess(store, prefix + ConfigurationEnvelope.KEY);
 	}
 
+	/**
+	 * Reads the file that the arguments name.
+	 * @param arguments the arguments
+	 * @return the document, which is not checked yet
+	 * @throws IOException if the file cannot be read
+	 */
+	static byte[] document(Arguments arguments) throws IOException {
+		String name = arguments.argument("the file of the printed configuration");
+		Path file = Path.of(name);
+		if (!Files.isRegularFile(file) || !Files.isReadable(file)) {
+			throw new UsageException("FILE: got '" + name + "', expected a file that can be read");
+		}
+		if (Files.size(file) > ConfigurationDocument.MAXIMUM_BYTES) {
+			throw new UsageException("FILE: got " + Files.size(file) + " bytes, expected at most "
+					+ ConfigurationDocument.MAXIMUM_BYTES + " bytes");
+		}
+		return Files.readAllBytes(file);
+	}
+
+	/**
+	 * Reads the configuration of an entry.
+	 * @param entry the entry
+	 * @return the configuration, or nothing if the document is not acceptable
+	 */
+	static Optional<Configuration> readable(Store.Entry entry) {
+		try {
+			return Optional.of(ConfigurationEnvelope.decode(entry.value()).configuration());
+		}
+		catch (ConfigurationException ex) {
+			return Optional.empty();
+		}
+	}
+
 	Store store() {
 		return this.store;
 	}
--- a/masticlane/src/main/java/io/masticlane/platform/ConfigurationWriter.java
+++ b/masticlane/src/main/java/io/masticlane/platform/ConfigurationWriter.java
@@ -1,11 +1,12 @@
 package io.masticlane.platform;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 
 /**
  * Writes a configuration by compare-and-swap, and finds out after a lost reply whether
- * the write took effect.
+ * the write took effect, also when other writes came on top of it.
  */
 public final class ConfigurationWriter {
 
@@ -34,31 +35,59 @@
 	 * @return the result
 	 */
 	public Result write(ConfigurationEnvelope envelope, long expectedRevision) {
-		StoreException last = null;
+		Optional<Store.Entry> base = this.store.read(this.key).join();
+		long present = base.map(Store.Entry::revision).orElse(Store.ABSENT);
+		if (present != expectedRevision) {
+			return Result.conflict(present);
+		}
+		ConfigurationEnvelope successor = base
+			.map((entry) -> envelope.after(present, ConfigurationEnvelope.decode(entry.value())))
+			.orElse(envelope);
+		return writeUntilKnown(successor, expectedRevision);
+	}
+
+	private Result writeUntilKnown(ConfigurationEnvelope envelope, long expectedRevision) {
+		boolean replyLost = false;
 		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
 			try {
-				return writeOnce(envelope, expectedRevision);
+				Store.WriteResult result = this.store
+					.compareAndSet(this.key, expectedRevision, envelope.encode(), Store.NO_LEASE)
+					.join();
+				if (result.succeeded()) {
+					return Result.accepted(result.revision(), result.revision());
+				}
+				return replyLost ? readBack(envelope, expectedRevision) : Result.conflict(result.revision());
 			}
 			catch (CompletionException ex) {
-				last = (StoreException) ex.getCause();
+				replyLost = true;
 				pause();
 			}
 		}
-		throw new StoreException("it is not known whether the write took effect: " + last.getMessage(), last);
+		return Result.unknown(Store.ABSENT);
 	}
 
-	private Result writeOnce(ConfigurationEnvelope envelope, long expectedRevision) {
-		Store.WriteResult result = this.store
-			.compareAndSet(this.key, expectedRevision, envelope.encode(), Store.NO_LEASE)
-			.join();
-		if (result.succeeded()) {
-			return new Result(true, result.revision());
+	/**
+	 * Finds out what became of an attempt without a reply. No attempt can take effect any
+	 * more, for the expected revision is gone.
+	 * @param envelope the envelope that was written
+	 * @param expectedRevision the expected revision
+	 * @return the result
+	 */
+	private Result readBack(ConfigurationEnvelope envelope, long expectedRevision) {
+		Optional<Store.Entry> found = this.store.read(this.key).join();
+		if (found.isEmpty()) {
+			return Result.unknown(Store.ABSENT);
+		}
+		long last = found.get().revision();
+		ConfigurationEnvelope present = ConfigurationEnvelope.decode(found.get().value());
+		if (present.nonce().equals(envelope.nonce())) {
+			return Result.accepted(last, last);
 		}
-		Optional<Store.Entry> present = this.store.read(this.key).join();
-		boolean own = present
-			.map((entry) -> ConfigurationEnvelope.decode(entry.value()).nonce().equals(envelope.nonce()))
-			.orElse(false);
-		return new Result(own, present.map(Store.Entry::revision).orElse(Store.ABSENT));
+		OptionalLong superseded = present.revisionOf(envelope.nonce());
+		if (superseded.isPresent()) {
+			return Result.accepted(superseded.getAsLong(), last);
+		}
+		return present.namesAllAfter(expectedRevision) ? Result.conflict(last) : Result.unknown(last);
 	}
 
 	private static void pause() {
@@ -73,10 +102,54 @@
 	/**
 	 * The result of a write.
 	 *
-	 * @param accepted whether the configuration was accepted
-	 * @param revision its revision, or the last revision that prevented it
+	 * @param verdict what became of the write
+	 * @param revision the revision of an accepted configuration, otherwise the last one
+	 * @param last the last revision, which is higher if other writes came on top
 	 */
-	public record Result(boolean accepted, long revision) {
+	public record Result(Verdict verdict, long revision, long last) {
+
+		static Result accepted(long revision, long last) {
+			return new Result(Verdict.ACCEPTED, revision, last);
+		}
+
+		static Result conflict(long last) {
+			return new Result(Verdict.CONFLICT, last, last);
+		}
+
+		static Result unknown(long last) {
+			return new Result(Verdict.UNKNOWN, last, last);
+		}
+
+		/**
+		 * Tells whether the configuration was accepted.
+		 * @return whether the configuration was accepted
+		 */
+		public boolean accepted() {
+			return this.verdict == Verdict.ACCEPTED;
+		}
+
+	}
+
+	/**
+	 * What became of a write.
+	 */
+	public enum Verdict {
+
+		/**
+		 * The write took effect.
+		 */
+		ACCEPTED,
+
+		/**
+		 * Another write came first, and this one took no effect.
+		 */
+		CONFLICT,
+
+		/**
+		 * It cannot be told whether the write took effect.
+		 */
+		UNKNOWN
+
 	}
 
 }
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/platform/ConfigurationWriterTests.java
@@ -0,0 +1,132 @@
+package io.masticlane.platform;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ForkJoinPool;
+import java.util.stream.IntStream;
+
+import io.masticlane.demo.StoreStandIn;
+import io.masticlane.fixture.Await;
+import io.masticlane.fixture.FaultProxy;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class ConfigurationWriterTests {
+
+	private static final String KEY = "masticlane/configuration";
+
+	private StoreStandIn store;
+
+	private FaultProxy proxy;
+
+	private Store direct;
+
+	@BeforeMethod
+	public void start() throws IOException {
+		this.store = new StoreStandIn(new InetSocketAddress("127.0.0.1", 0));
+		this.proxy = new FaultProxy(new InetSocketAddress("127.0.0.1", 0), this.store.address());
+		this.direct = client(this.store.address());
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() {
+		this.proxy.close();
+		this.store.close();
+	}
+
+	@Test
+	public void ofTwoOperatorsOnTheSameBaseOneIsToldTheOthersRevision() {
+		long base = writer().write(envelope("base"), Store.ABSENT).revision();
+		ConfigurationWriter.Result first = writer().write(envelope("first"), base);
+		ConfigurationWriter.Result second = writer().write(envelope("second"), base);
+		assertTrue(first.accepted());
+		assertEquals(second, ConfigurationWriter.Result.conflict(first.revision()));
+		assertEquals(present().nonce(), "first");
+	}
+
+	@Test
+	public void aWriteWhoseReplyWasLostIsRecognised() {
+		long base = writer().write(envelope("base"), Store.ABSENT).revision();
+		CompletableFuture<ConfigurationWriter.Result> lost = writeWithoutReply("mine", base);
+		this.proxy.heal();
+		long written = this.direct.revision(KEY).join();
+		assertEquals(lost.join(), ConfigurationWriter.Result.accepted(written, written));
+	}
+
+	@Test
+	public void aWriteWhoseReplyWasLostIsRecognisedUnderAnothersWrites() {
+		long base = writer().write(envelope("base"), Store.ABSENT).revision();
+		CompletableFuture<ConfigurationWriter.Result> lost = writeWithoutReply("mine", base);
+		long written = this.direct.revision(KEY).join();
+		long other = writer().write(envelope("other"), written).revision();
+		long last = writer().write(envelope("last"), other).revision();
+		this.proxy.heal();
+		assertEquals(lost.join(), ConfigurationWriter.Result.accepted(written, last));
+	}
+
+	@Test
+	public void aWriteThatCameTooLateIsAConflictAlthoughItsReplyWasLost() {
+		long base = writer().write(envelope("base"), Store.ABSENT).revision();
+		this.proxy.silence();
+		CompletableFuture<ConfigurationWriter.Result> lost = CompletableFuture
+			.supplyAsync(() -> new ConfigurationWriter(lossyWrites(), KEY).write(envelope("mine"), base));
+		Await.until("the first attempt is under way", () -> this.proxy.carrying() > 0);
+		long other = writer().write(envelope("other"), base).revision();
+		this.proxy.heal();
+		assertEquals(lost.join(), ConfigurationWriter.Result.conflict(other));
+	}
+
+	@Test
+	public void aWriteThatNoLongerCanBeTracedIsUnknown() {
+		long base = writer().write(envelope("base"), Store.ABSENT).revision();
+		CompletableFuture<ConfigurationWriter.Result> lost = writeWithoutReply("mine", base);
+		IntStream.rangeClosed(0, ConfigurationEnvelope.MAXIMUM_PREDECESSORS)
+			.forEach((index) -> writer().write(envelope("other-" + index), this.direct.revision(KEY).join()));
+		this.proxy.heal();
+		assertEquals(lost.join().verdict(), ConfigurationWriter.Verdict.UNKNOWN);
+	}
+
+	private CompletableFuture<ConfigurationWriter.Result> writeWithoutReply(String nonce, long base) {
+		Store lossy = lossyWrites();
+		this.proxy.loseReplies();
+		CompletableFuture<ConfigurationWriter.Result> result = CompletableFuture
+			.supplyAsync(() -> new ConfigurationWriter(lossy, KEY).write(envelope(nonce), base));
+		Await.until("the write took effect", () -> present().nonce().equals(nonce));
+		return result;
+	}
+
+	/**
+	 * Returns a store whose writes alone go by the proxy.
+	 * @return the store
+	 */
+	private Store lossyWrites() {
+		Store lossy = client(this.proxy.address());
+		return (Store) Proxy.newProxyInstance(Store.class.getClassLoader(), new Class<?>[] { Store.class },
+				(self, method, arguments) -> method
+					.invoke(method.getName().equals("compareAndSet") ? lossy : this.direct, arguments));
+	}
+
+	private ConfigurationWriter writer() {
+		return new ConfigurationWriter(this.direct, KEY);
+	}
+
+	private ConfigurationEnvelope present() {
+		return ConfigurationEnvelope.decode(this.direct.read(KEY).join().orElseThrow().value());
+	}
+
+	private static ConfigurationEnvelope envelope(String nonce) {
+		return new ConfigurationEnvelope(nonce, new byte[] { '{', '}' });
+	}
+
+	private static Store client(InetSocketAddress address) {
+		return new EtcdStore(address, Duration.ofMillis(500), ForkJoinPool.commonPool());
+	}
+
+}
