--- a/masticlane/src/main/java/io/masticlane/peer/PeerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerHandler.java
@@ -45,6 +45,7 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
+		this.network.heard(context.channel());
 		byte[] payload = new byte[frame.readableBytes()];
 		frame.readBytes(payload);
 		Message message = MessageFrame.decode(payload);
--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -3,11 +3,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
 import io.masticlane.event.EventLog;
@@ -52,7 +56,9 @@
 
 	private final Set<InetSocketAddress> dialled = ConcurrentHashMap.newKeySet();
 
-	private final Map<Channel, Peer> greeted = new ConcurrentHashMap<>();
+	private final Map<Channel, Greeted> greeted = new ConcurrentHashMap<>();
+
+	private final LongAdder dropped = new LongAdder();
 
 	private volatile InetAddress local;
 
@@ -100,21 +106,19 @@
 	}
 
 	/**
-	 * Sends a message to one peer, if a connection to it has room.
+	 * Sends a message to one peer, over the connection with room that was heard last.
 	 * @param host the name of the peer's entry host
 	 * @param message the message
 	 * @return whether the message was written to a connection
 	 */
 	public boolean send(String host, Message message) {
-		return this.greeted.entrySet()
+		Optional<Channel> heardLast = this.greeted.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().host().equals(host) && entry.getKey().isWritable())
-			.findFirst()
-			.map((entry) -> {
-				write(entry.getKey(), message);
-				return true;
-			})
-			.orElse(false);
+			.filter((entry) -> entry.getValue().peer().host().equals(host) && entry.getKey().isWritable())
+			.max(Comparator.comparingLong((entry) -> entry.getValue().heardAt().get()))
+			.map(Map.Entry::getKey);
+		heardLast.ifPresentOrElse((channel) -> write(channel, message), this.dropped::increment);
+		return heardLast.isPresent();
 	}
 
 	/**
@@ -122,10 +126,22 @@
 	 * @param message creates the message to each peer
 	 */
 	public void sendOnEveryConnection(Function<Peer, Message> message) {
-		this.greeted.entrySet()
-			.stream()
-			.filter((entry) -> entry.getKey().isWritable())
-			.forEach((entry) -> write(entry.getKey(), message.apply(entry.getValue())));
+		this.greeted.forEach((channel, to) -> {
+			if (channel.isWritable()) {
+				write(channel, message.apply(to.peer()));
+			}
+			else {
+				this.dropped.increment();
+			}
+		});
+	}
+
+	/**
+	 * Returns the messages that were dropped because no connection had room.
+	 * @return the number of dropped messages
+	 */
+	public long dropped() {
+		return this.dropped.sum();
 	}
 
 	static void write(Channel channel, Message message) {
@@ -133,13 +149,20 @@
 	}
 
 	void greeted(Channel channel, Peer peer) {
-		this.greeted.put(channel, peer);
+		this.greeted.put(channel, new Greeted(peer, new AtomicLong(System.nanoTime())));
+	}
+
+	void heard(Channel channel) {
+		Greeted from = this.greeted.get(channel);
+		if (from != null) {
+			from.heardAt().set(System.nanoTime());
+		}
 	}
 
 	void closed(Channel channel, String reason) {
-		Peer peer = this.greeted.remove(channel);
-		if (peer != null && !this.greeted.containsValue(peer)) {
-			this.listener.lost(peer, reason);
+		Greeted from = this.greeted.remove(channel);
+		if (from != null && this.greeted.values().stream().noneMatch((each) -> each.peer().equals(from.peer()))) {
+			this.listener.lost(from.peer(), reason);
 		}
 	}
 
@@ -182,4 +205,13 @@
 		};
 	}
 
+	/**
+	 * The peer at the other end of a connection.
+	 *
+	 * @param peer the peer
+	 * @param heardAt the time at which the connection was heard last, in nanoseconds
+	 */
+	private record Greeted(Peer peer, AtomicLong heardAt) {
+	}
+
 }
