--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -155,6 +155,7 @@
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
 				events);
+		this.network.register(this.metrics.registry());
 		this.ledger = new OperationLedger(this.self.incarnation(), OPERATION_BOUNDS);
 		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -31,6 +31,8 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /**
  * Keeps connections to the other entry hosts: dials each, accepts theirs, and replaces a
@@ -144,6 +146,18 @@
 		return this.dropped.sum();
 	}
 
+	/**
+	 * Registers the metrics of the network.
+	 * @param registry the registry of metrics
+	 */
+	public void register(PrometheusRegistry registry) {
+		CounterWithCallback.builder()
+			.name("masticlane_peer_messages_dropped_total")
+			.help("Messages to peers that were dropped because no connection had room.")
+			.callback((callback) -> callback.call(dropped()))
+			.register(registry);
+	}
+
 	static void write(Channel channel, Message message) {
 		channel.writeAndFlush(Unpooled.wrappedBuffer(MessageFrame.encode(message)));
 	}
--- a/masticlane/src/test/java/io/masticlane/entry/KeyWithdrawalTests.java
+++ b/masticlane/src/test/java/io/masticlane/entry/KeyWithdrawalTests.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -95,6 +96,30 @@
 		}
 	}
 
+	@Test
+	public void aRequestThatWaitedForAPausedEntryHostIsNotServedForAWithdrawnKey() throws Exception {
+		assertEquals(this.fleet.send(3, balance("org-8")).statusCode(), 200);
+		this.fleet.entry(3).pause();
+		CompletableFuture<Integer> waiting = CompletableFuture.supplyAsync(() -> status(3, "org-8"));
+		long revision = this.fleet.apply(withoutKey(this.fleet.configuration(), "org-8"));
+		long pausedAt = System.nanoTime();
+		Await.until("the others have the withdrawal in force and the bound has passed",
+				() -> status(0, "org-8") == 403 && System.nanoTime() - pausedAt > TimeUnit.SECONDS.toNanos(6));
+		this.fleet.entry(3).resume();
+		assertTrue(List.of(403, 503).contains(waiting.join()), "the answer was " + waiting.join());
+		Await.until("revision " + revision + " is in force", () -> status(3, "org-8") == 403);
+		assertEquals(status(3, "org-7"), 200);
+	}
+
+	private int status(int index, String organisation) {
+		try {
+			return this.fleet.send(index, balance(organisation)).statusCode();
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	@Test
 	public void aStoreOutageAndTheLossOfAnEntryHostRefuseNoKeyedRequest() throws Exception {
 		this.fleet.storeProxies().forEach(FaultProxy::cut);
