--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -163,6 +163,7 @@
 				events);
 		this.fleetLimits = new FleetLimits(this.self, this.members, store, settings.storePrefix(), executor(),
 				this.network::send, events);
+		this.network.register(this.metrics.registry());
 		this.ledger = new OperationLedger(this.self.incarnation(), OPERATION_BOUNDS);
 		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
