--- a/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
+++ b/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
@@ -1,9 +1,7 @@
 package io.masticlane.caller;
 
-import io.masticlane.failure.ErrorKind;
-import io.masticlane.failure.Refusal;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 
@@ -16,10 +14,15 @@
 		super(maximumBytes);
 	}
 
+	@Override
+	protected Object newContinueResponse(HttpMessage start, int maximumBytes, ChannelPipeline pipeline) {
+		return isContentLengthInvalid(start, maximumBytes) ? null
+				: super.newContinueResponse(start, maximumBytes, pipeline);
+	}
+
 	@Override
 	protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-		context.writeAndFlush(Answers.refusal(Refusal.of(ErrorKind.TOO_LARGE), false))
-			.addListener(ChannelFutureListener.CLOSE);
+		context.fireChannelRead(RefusedRequest.tooLarge(oversized.headers()));
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 
 /**
  * Listens for callers.
@@ -72,7 +71,7 @@
 		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 			.setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
 		channel.pipeline()
-			.addLast(new HttpServerCodec(decoder), new BodyAggregator(this.maximumBodyBytes),
+			.addLast(new CallerCodec(decoder), new BodyAggregator(this.maximumBodyBytes),
 					new RequestHandler(this.services, pool));
 	}
 
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/caller/RefusedRequest.java
@@ -0,0 +1,37 @@
+package io.masticlane.caller;
+
+import io.masticlane.failure.ErrorKind;
+import io.masticlane.failure.Outcome;
+import io.masticlane.failure.Refusal;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+
+/**
+ * A request that cannot be served since it was not read whole. It is answered in its turn,
+ * and the connection is closed then.
+ *
+ * @param refusal the refusal
+ */
+record RefusedRequest(Refusal refusal) {
+
+	static RefusedRequest tooLarge(HttpHeaders headers) {
+		Outcome outcome = headers.contains(Headers.IDEMPOTENCY_KEY) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+		return new RefusedRequest(Refusal.of(ErrorKind.TOO_LARGE).withOutcome(outcome));
+	}
+
+	/**
+	 * Creates the refusal of a request whose head was not read whole, so that it may name
+	 * any operation.
+	 * @param request the request, as far as it was read
+	 * @return the refused request
+	 */
+	static RefusedRequest malformed(FullHttpRequest request) {
+		Throwable cause = request.decoderResult().cause();
+		boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+		ErrorKind kind = tooLarge ? ErrorKind.TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+		return new RefusedRequest(Refusal.of(kind).withOutcome(Outcome.UNKNOWN));
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -31,7 +31,9 @@
 
 	private final BackendConnections connections;
 
-	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+	private final Deque<Object> pipelined = new ArrayDeque<>();
+
+	private boolean closing;
 
 	private Exchange current;
 
@@ -42,17 +44,25 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		FullHttpRequest request = (FullHttpRequest) message;
-		if (request.decoderResult().isFailure()) {
-			request.release();
-			refuseAndClose(context, ErrorKind.MALFORMED_REQUEST);
+		if (this.closing) {
+			ReferenceCountUtil.release(message);
+			return;
 		}
-		else if (this.current != null) {
-			pipeline(context, request);
+		Object next = checked(message);
+		if (this.current != null) {
+			pipeline(context, next);
 		}
 		else {
-			serve(context, request);
+			serve(context, next);
+		}
+	}
+
+	private static Object checked(Object message) {
+		if (message instanceof FullHttpRequest request && request.decoderResult().isFailure()) {
+			request.release();
+			return RefusedRequest.malformed(request);
 		}
+		return message;
 	}
 
 	@Override
@@ -82,23 +92,29 @@
 			context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
-		FullHttpRequest next = this.pipelined.pollFirst();
+		Object next = this.pipelined.pollFirst();
 		if (next != null) {
 			serve(context, next);
 		}
 	}
 
-	private void pipeline(ChannelHandlerContext context, FullHttpRequest request) {
+	private void pipeline(ChannelHandlerContext context, Object request) {
 		if (this.pipelined.size() < MAXIMUM_PIPELINED) {
 			this.pipelined.addLast(request);
 		}
 		else {
-			request.release();
+			ReferenceCountUtil.release(request);
 			context.close();
 		}
 	}
 
-	private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+	private void serve(ChannelHandlerContext context, Object message) {
+		if (message instanceof RefusedRequest refused) {
+			this.closing = true;
+			answer(context, Answers.refusal(refused.refusal(), false), false);
+			return;
+		}
+		FullHttpRequest request = (FullHttpRequest) message;
 		if (request.uri().equals(LOOK_UP_PATH) && request.method().equals(HttpMethod.GET)) {
 			lookUp(context, request);
 		}
@@ -126,8 +142,4 @@
 		completed(context, keepAlive);
 	}
 
-	private void refuseAndClose(ChannelHandlerContext context, ErrorKind kind) {
-		context.writeAndFlush(Answers.refusal(Refusal.of(kind), false)).addListener(ChannelFutureListener.CLOSE);
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
+++ b/masticlane/src/main/java/io/masticlane/demo/BackendStandIn.java
@@ -18,8 +18,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -27,7 +29,8 @@
 
 /**
  * A small stand-in for a backend server: it has slots, takes a time for each request,
- * sheds what exceeds the slots, and counts the runs of each operation.
+ * sheds what exceeds the slots, and counts the runs of each operation. A request whose
+ * query names a {@link StandInAnswer} gets that kind of answer.
  */
 public final class BackendStandIn implements AutoCloseable {
 
@@ -49,6 +52,10 @@
 
 	private final Set<String> headerNames = ConcurrentHashMap.newKeySet();
 
+	private final AtomicInteger cancelled = new AtomicInteger();
+
+	private volatile HttpHeaders lastHeaders = EmptyHttpHeaders.INSTANCE;
+
 	/**
 	 * Creates a new backend server and starts listening.
 	 * @param name the name of the backend server
@@ -107,6 +114,22 @@
 		return Set.copyOf(this.headerNames);
 	}
 
+	/**
+	 * Returns the number of requests whose connection was closed while they were running.
+	 * @return the number of cancelled requests
+	 */
+	public int cancelled() {
+		return this.cancelled.get();
+	}
+
+	/**
+	 * Returns the headers of the last request.
+	 * @return the headers of the last request
+	 */
+	public HttpHeaders lastHeaders() {
+		return this.lastHeaders;
+	}
+
 	@Override
 	public void close() {
 		this.channel.close().syncUninterruptibly();
@@ -114,9 +137,12 @@
 
 	private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+		private int runningHere;
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
 			BackendStandIn server = BackendStandIn.this;
+			server.lastHeaders = request.headers();
 			request.headers().names().forEach((header) -> server.headerNames.add(header.toLowerCase()));
 			int now = server.running.incrementAndGet();
 			if (now > server.slots) {
@@ -129,13 +155,16 @@
 			if (operation != null) {
 				server.runs.merge(operation, 1, Integer::sum);
 			}
+			this.runningHere++;
 			FullHttpRequest kept = request.retain();
-			context.executor().schedule(() -> finish(context, kept), server.serviceMillis, TimeUnit.MILLISECONDS);
+			long millis = server.serviceMillis + StandInAnswer.of(request).delayMillis();
+			context.executor().schedule(() -> finish(context, kept), millis, TimeUnit.MILLISECONDS);
 		}
 
 		private void finish(ChannelHandlerContext context, FullHttpRequest request) {
 			BackendStandIn server = BackendStandIn.this;
 			server.running.decrementAndGet();
+			this.runningHere--;
 			String organisation = request.headers().get("Masticlane-Organisation", "");
 			answer(context, request, HttpResponseStatus.OK,
 					server.name + " " + organisation + " " + request.uri() + "\n", "run");
@@ -152,7 +181,12 @@
 			if (requestId != null) {
 				response.headers().set("Masticlane-Request-Id", requestId);
 			}
-			context.writeAndFlush(response);
+			StandInAnswer.of(request).write(context, response);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			BackendStandIn.this.cancelled.addAndGet(this.runningHere);
 		}
 
 		@Override
