--- a/masticlane/src/main/java/io/masticlane/caller/CallerCodec.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerCodec.java
@@ -17,8 +17,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 
 /**
- * Decodes callers' requests and encodes the answers. Unlike Netty's own codec it refuses a
- * request that states its length in two ways.
+ * Decodes callers' requests and encodes the answers. Unlike Netty's own codec it refuses
+ * a request that states its length in two ways.
  */
 final class CallerCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
 
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -11,6 +11,7 @@
 import io.masticlane.failure.Outcome;
 import io.masticlane.failure.Refusal;
 import io.masticlane.operation.RecordedAnswer;
+import io.masticlane.route.RoutingTable;
 import io.masticlane.steering.Arrival;
 import io.masticlane.steering.AttemptEnd;
 import io.masticlane.steering.Carrier;
@@ -140,6 +141,26 @@
 		}
 	}
 
+	/**
+	 * Ends the request if its key is no longer granted. An operation that may have run
+	 * goes on until its answer begins, so that its caller learns the result.
+	 * @param table the routing table that came into force
+	 */
+	void keysChanged(RoutingTable table) {
+		boolean kept = this.attempt != null && !this.answering && !idempotent();
+		if (this.done || kept || this.check.granted(this.request, table)) {
+			return;
+		}
+		boolean sent = cancelAttempt();
+		if (this.answering) {
+			end(AttemptEnd.ABANDONED);
+		}
+		else {
+			finishWith(Refusal.of(ErrorKind.KEY_REFUSED).withOutcome(Outcome.UNKNOWN));
+			tell(sent ? AttemptEnd.ABANDONED : AttemptEnd.WITHDRAWN);
+		}
+	}
+
 	/**
 	 * Refuses a request before the decision core saw it: an earlier attempt at an
 	 * operation cannot be known here.
--- a/masticlane/src/main/java/io/masticlane/caller/RefusedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RefusedRequest.java
@@ -9,8 +9,8 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 
 /**
- * A request that cannot be served since it was not read whole. It is answered in its turn,
- * and the connection is closed then.
+ * A request that cannot be served since it was not read whole. It is answered in its
+ * turn, and the connection is closed then.
  *
  * @param refusal the refusal
  */
--- a/masticlane/src/main/java/io/masticlane/caller/RequestCheck.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestCheck.java
@@ -40,6 +40,17 @@
 			.orElse(refused(ErrorKind.NO_ROUTE));
 	}
 
+	/**
+	 * Tells whether the key that came with the request is granted to its organisation by
+	 * another table.
+	 */
+	boolean granted(FullHttpRequest request, RoutingTable table) {
+		return this.organisation.isEmpty()
+				|| bearer(request.headers().get(HttpHeaderNames.AUTHORIZATION, "")).flatMap(table::organisation)
+					.filter((found) -> found.name().equals(this.organisation))
+					.isPresent();
+	}
+
 	/**
 	 * Tells whether a request names an operation, well-formed or not.
 	 */
--- a/masticlane/src/main/java/io/masticlane/demo/StandInAnswer.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInAnswer.java
@@ -33,7 +33,7 @@
 	},
 
 	/**
-	 * Whole, but some seconds late.
+	 * Whole, but a second late.
 	 */
 	LATE {
 		@Override
@@ -130,7 +130,7 @@
 		}
 	};
 
-	private static final long LATE_MILLIS = TimeUnit.SECONDS.toMillis(3);
+	private static final long LATE_MILLIS = TimeUnit.SECONDS.toMillis(1);
 
 	/**
 	 * Writes the answer.
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -17,13 +17,15 @@
 import io.masticlane.backend.Balancer;
 import io.masticlane.caller.CallerServer;
 import io.masticlane.caller.EntryServices;
-import io.masticlane.configuration.EntryHost;
 import io.masticlane.duty.Duty;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
+import io.masticlane.membership.HeartbeatEchoes;
+import io.masticlane.membership.Member;
 import io.masticlane.membership.Members;
+import io.masticlane.membership.StoreContact;
 import io.masticlane.message.Message;
 import io.masticlane.operation.OperationLedger;
 import io.masticlane.operation.OwnedOperations;
@@ -57,7 +59,7 @@
 
 	private static final int PLATFORM_CAPACITY = 1_024;
 
-	private static final long PLATFORM_TICK_MILLIS = 500;
+	private static final long PLATFORM_TICK_MILLIS = 250;
 
 	private static final long DECISIONS_TICK_MILLIS = 100;
 
@@ -98,23 +100,31 @@
 
 	private final Duty platform;
 
+	private final StoreWatch watch;
+
+	private final ConfigurationFetch fetch = new ConfigurationFetch();
+
 	private final OperatorServer operators;
 
+	private final CallerServer callers;
+
 	private final Channel callerChannel;
 
 	private final Channel peerChannel;
 
 	private volatile EntryHostDirectory directory;
 
+	private volatile WatchRole watchRole = WatchRole.STARTING;
+
 	private volatile boolean leaving;
 
 	private volatile boolean stopping;
 
 	private volatile int inFlight;
 
-	private volatile long storeHeardAt = System.nanoTime();
+	private final StoreContact storeContact = new StoreContact(System.nanoTime());
 
-	private long sequence;
+	private final HeartbeatEchoes echoes = new HeartbeatEchoes();
 
 	private long nextHeartbeat = System.nanoTime();
 
@@ -129,7 +139,7 @@
 		this.events = events;
 		this.self = new Peer(settings.host(), UUID.randomUUID().toString());
 		this.members = new Members(settings.silenceMillis());
-		this.configuration = new ConfigurationState(events, this::inForce);
+		this.configuration = new ConfigurationState(events, this::readApart, this::decide, this::inForce);
 		Store store = new EtcdStore(settings.storeAddress(), Duration.ofMillis(settings.storeTimeoutMillis()),
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
@@ -141,16 +151,16 @@
 		this.steering = new Steering(new Limits.EqualShares(), this.operations,
 				new Balancer.LeastLoaded(settings.dataCentre()));
 		registerHandlers();
+		EntryServices services = new EntryServices(this.steering, this::decide, this.configuration::table,
+				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
+		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
-		StoreWatch watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY,
-				(entry) -> this.decisions.offer(() -> storeHeard(entry.orElse(null))), events);
-		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, watch::poll, events);
+		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
+				this.configuration::settled, new DecidingStoreListener(), events);
+		this.platform = new Duty("platform", PLATFORM_CAPACITY, PLATFORM_TICK_MILLIS, this.watch::tick, events);
 		this.peerChannel = this.network.listen(settings.peerAddress());
 		this.network.dial(settings.peers());
-		EntryServices services = new EntryServices(this.steering, this.decisions::offer, this.configuration::table,
-				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
-		this.callerChannel = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes())
-			.listen(settings.callerAddress());
+		this.callerChannel = this.callers.listen(settings.callerAddress());
 		this.operators = new OperatorServer(settings.operatorAddress(), this.metrics,
 				() -> this.directory != null && !this.leaving, this::status);
 		events.record(Event.ENTRY_STARTED, settings.host(), this.self.incarnation());
@@ -180,6 +190,7 @@
 		this.peerChannel.close().syncUninterruptibly();
 		this.operators.close();
 		this.platform.close();
+		this.watch.close();
 		this.decisions.close();
 		this.callerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 		this.peerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -201,7 +212,11 @@
 		if (this.members.heard(peer, heartbeat, System.nanoTime())) {
 			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
 		}
-		if (heartbeat.revision() > this.configuration.revision()) {
+		this.echoes.heard(peer, heartbeat.sequence());
+		this.echoes.sentNotBefore(heartbeat.echo())
+			.ifPresent((notBefore) -> this.storeContact.told(notBefore, heartbeat.storeAgeMillis()));
+		if (this.configuration.wants(heartbeat.revision())
+				&& this.fetch.asks(peer.host(), heartbeat.revision(), System.nanoTime())) {
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.configuration.revision()));
 		}
 	}
@@ -212,6 +227,14 @@
 		}
 	}
 
+	private boolean readApart(Runnable command) {
+		return this.platform.offer(command);
+	}
+
+	private boolean decide(Runnable command) {
+		return this.decisions.offer(command);
+	}
+
 	private Executor executor() {
 		return (command) -> this.decisions.offer(command);
 	}
@@ -219,13 +242,9 @@
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
 		this.metrics.revision(table.revision());
+		this.callers.configured(table);
 		this.network.dial(peerAddresses(table));
-		table.configuration()
-			.entryHosts()
-			.stream()
-			.map(EntryHost::name)
-			.filter((name) -> !name.equals(this.self.host()))
-			.forEach((name) -> this.network.send(name, push));
+		sendHeartbeats(System.nanoTime());
 		publishDirectory();
 	}
 
@@ -238,13 +257,6 @@
 		return Stream.concat(configured, this.settings.peers().stream()).distinct().toList();
 	}
 
-	private void storeHeard(Store.Entry entry) {
-		this.storeHeardAt = System.nanoTime();
-		if (entry != null) {
-			this.configuration.offer(entry.revision(), entry.value(), "the store");
-		}
-	}
-
 	private void tick() {
 		long now = System.nanoTime();
 		this.inFlight = this.steering.inFlight();
@@ -252,16 +264,22 @@
 		if (this.configuration.table() != null) {
 			publishDirectory();
 		}
+		this.watchRole = WatchRole.of(this.configuration.table(), this.self.host(),
+				this.members.heard(now).stream().map(Member::host).toList(), this.storeContact.ageMillis(now));
 		if (now - this.nextHeartbeat >= 0) {
-			this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
-			this.network.sendOnEveryConnection(heartbeat(now));
+			sendHeartbeats(now);
 		}
 	}
 
-	private Message.Heartbeat heartbeat(long now) {
-		long storeAge = TimeUnit.NANOSECONDS.toMillis(now - this.storeHeardAt);
-		return new Message.Heartbeat(++this.sequence, 0, this.configuration.revision(), storeAge, this.leaving,
-				this.inFlight, this.ledger.epoch());
+	private void sendHeartbeats(long now) {
+		this.nextHeartbeat = now + TimeUnit.MILLISECONDS.toNanos(this.settings.heartbeatMillis());
+		long sequence = this.echoes.next(now);
+		this.network.sendOnEveryConnection((peer) -> heartbeat(peer, sequence, now));
+	}
+
+	private Message.Heartbeat heartbeat(Peer peer, long sequence, long now) {
+		return new Message.Heartbeat(sequence, this.echoes.echo(peer), this.configuration.revision(),
+				this.storeContact.ageMillis(now), this.leaving, this.inFlight, this.ledger.epoch());
 	}
 
 	private void publishDirectory() {
@@ -270,12 +288,15 @@
 				this.inFlight, this.leaving, this.ledger.epoch());
 		List<EntryHostDirectory.HeardHost> hosts = EntryHostDirectory.heardHosts(table.configuration(), own,
 				this.members.heard(System.nanoTime()));
-		this.directory = EntryHostDirectory.of(table, hosts, table.region(this.settings.dataCentre()),
-				this.settings.lookUpTtlMillis(), (client) -> "");
+		EntryHostDirectory present = this.directory;
+		if (present == null || !present.shows(table, hosts)) {
+			this.directory = EntryHostDirectory.of(table, hosts, table.region(this.settings.dataCentre()),
+					this.settings.lookUpTtlMillis());
+		}
 	}
 
 	private String status() {
-		long storeAge = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.storeHeardAt);
+		long storeAge = this.storeContact.ageMillis(System.nanoTime());
 		return "{\"host\":\"" + this.self.host() + "\",\"incarnation\":\"" + this.self.incarnation()
 				+ "\",\"revision\":" + this.configuration.revision() + ",\"ready\":" + (this.directory != null)
 				+ ",\"leaving\":" + this.leaving + ",\"inFlight\":" + this.inFlight + ",\"storeAgeMillis\":" + storeAge
@@ -303,6 +324,24 @@
 		};
 	}
 
+	/**
+	 * Hands what the store tells to the decisions' thread.
+	 */
+	private final class DecidingStoreListener implements StoreWatch.Listener {
+
+		@Override
+		public void answered(long askedAt) {
+			EntryDaemon.this.decisions.offer(() -> EntryDaemon.this.storeContact.answered(askedAt));
+		}
+
+		@Override
+		public void written(Store.Entry entry) {
+			EntryDaemon.this.decisions
+				.offer(() -> EntryDaemon.this.configuration.offer(entry.revision(), entry.value(), "the store"));
+		}
+
+	}
+
 	/**
 	 * Finds the owners of operations among the members.
 	 */
