--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -40,7 +40,8 @@
 
 	/**
 	 * The longest time to wait for the first bytes of an answer on a connection that was
-	 * used before, in nanoseconds, when the request may run again.
+	 * used before, in nanoseconds, when the request may run again and its deadline leaves
+	 * as much for another attempt.
 	 */
 	private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -306,9 +307,8 @@
 				return false;
 			}
 			this.connection = connection;
-			if (reused && Exchange.this.idempotent()) {
-				long nanos = Math.min(SILENCE_NANOS, left() / 2);
-				Exchange.this.context.executor().schedule(this::silent, nanos, TimeUnit.NANOSECONDS);
+			if (reused && Exchange.this.idempotent() && left() > 2 * SILENCE_NANOS) {
+				Exchange.this.context.executor().schedule(this::silent, SILENCE_NANOS, TimeUnit.NANOSECONDS);
 			}
 			return true;
 		}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/caller/WholeAnswersTests.java
@@ -0,0 +1,231 @@
+package io.masticlane.caller;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.UUID;
+import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
+
+import io.masticlane.demo.BackendStandIn;
+import io.masticlane.fixture.Await;
+import io.masticlane.fixture.Fleet;
+import io.masticlane.fixture.RawCaller;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+/**
+ * Whole answers to the right request, and bad input, with one entry host and three
+ * backend servers.
+ */
+public class WholeAnswersTests {
+
+	private static final String KEY = Fleet.key("org-1");
+
+	private Fleet fleet;
+
+	@BeforeClass
+	public void startFleet() throws IOException {
+		this.fleet = Fleet.start(1, 3, 7, 5, UnaryOperator.identity());
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stopFleet() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	@Test
+	public void anAnswerCutBeforeItsEndIsSeenAsCut() {
+		List.of("truncated", "unfinished").forEach((answer) -> expectThrows(IOException.class, () -> get(answer)));
+	}
+
+	@Test
+	public void anAnswerToAnotherRequestIsNeverCarried() throws Exception {
+		HttpResponse<String> answer = get("crossed");
+		assertEquals(answer.headers().firstValue("Request-Outcome").orElse(""), "unknown", answer.body());
+		assertFalse(answer.body().contains("org-1"), answer.body());
+	}
+
+	@Test
+	public void anAnswerThatNobodyAskedForIsNeverTheNextOne() throws Exception {
+		for (int each = 0; each < 20; each++) {
+			assertTrue(get("doubled").body().endsWith("?answer=doubled\n"));
+			String path = "/ledger/" + each;
+			HttpResponse<String> answer = this.fleet.send(0, Fleet.Call.get(path).by("org-1"));
+			assertTrue(answer.body().endsWith(" " + path + "\n"), answer.body());
+		}
+	}
+
+	@Test
+	public void answersOfEveryFormAreCarriedWhole() throws Exception {
+		assertTrue(get("informed").body().endsWith("?answer=informed\n"));
+		assertTrue(get("unsized").body().endsWith("?answer=unsized\n"));
+		HttpResponse<String> empty = get("empty");
+		assertEquals(empty.statusCode(), 204);
+		HttpResponse<String> head = this.fleet.send(0, new Fleet.Call("HEAD", "/open/x", List.of(), ""));
+		assertEquals(head.body(), "");
+	}
+
+	@Test
+	public void pipelinedRequestsGetTheirAnswersInOrder() throws Exception {
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write(request("/ledger/1?answer=late") + request("/ledger/2") + "NONSENSE\r\n\r\n");
+			String read = caller.readAll();
+			List<Integer> places = List.of(read.indexOf("/ledger/1"), read.indexOf("/ledger/2"),
+					read.indexOf("malformed-request"));
+			assertTrue(places.get(0) > 0 && places.get(0) < places.get(1) && places.get(1) < places.get(2), read);
+		}
+	}
+
+	@Test
+	public void deadlinesAndCancellationReachTheBackendServer() throws Exception {
+		int before = cancelled();
+		HttpResponse<String> answer = this.fleet.send(0,
+				Fleet.Call.get("/ledger/x?answer=late").by("org-1").with("Deadline-Millis", "300"));
+		assertEquals(answer.statusCode(), 504, answer.body());
+		Await.until("the backend server sees the deadline", () -> cancelled() == before + 1);
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write(request("/ledger/gone?answer=late"));
+			Await.until("the request runs", () -> running() > 0);
+		}
+		Await.until("the backend server sees the cancellation", () -> cancelled() == before + 2);
+		assertTrue(this.fleet.backendServers()
+			.stream()
+			.map((server) -> server.lastHeaders().get("Deadline-Millis", "0"))
+			.anyMatch((millis) -> Integer.parseInt(millis) > 0));
+	}
+
+	@Test
+	public void silentPooledConnectionsCostNoAnswerAndRunNothingTwice() throws Exception {
+		IntStream.range(0, 12).parallel().forEach((each) -> {
+			try {
+				get("informed");
+			}
+			catch (IOException | InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		IntStream.range(0, 3).forEach((index) -> this.fleet.backendProxy(index).silenceOpenConnections());
+		HttpResponse<String> answer = this.fleet.send(0,
+				Fleet.Call.get("/ledger/silent").by("org-1").with("Deadline-Millis", "5000"));
+		assertEquals(answer.statusCode(), 200, answer.body());
+		IntStream.range(0, 3).forEach((index) -> this.fleet.backendProxy(index).silenceOpenConnections());
+		String operation = this.fleet.operationPrefix(0, 0) + UUID.randomUUID();
+		Fleet.Call call = Fleet.Call.post("/ledger/dues", operation).by("org-1").with("Deadline-Millis", "2000");
+		HttpResponse<String> first = this.fleet.send(0, call);
+		HttpResponse<String> again = this.fleet.send(0, call);
+		assertTrue(this.fleet.runs(operation) <= 1);
+		assertEquals(first.statusCode() == 200, this.fleet.runs(operation) == 1, first.body() + again.body());
+		assertFalse(first.headers().firstValue("Request-Outcome").orElse("").equals("not-run"));
+	}
+
+	@DataProvider
+	public Object[][] badInput() {
+		String large = "x".repeat(20_000);
+		return new Object[][] { { "NONSENSE\r\n\r\n", "400" }, { "GET /" + large + " HTTP/1.1\r\n\r\n", "413" },
+				{ "GET /open HTTP/1.1\r\nHost: x\r\nX-Large: " + large + "\r\n\r\n", "413" },
+				{ post("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", "400" },
+				{ post("Content-Length: 5\r\nContent-Length: 6\r\n") + "12345", "400" },
+				{ post("Content-Length: -1\r\n"), "400" }, { post("Content-Length: 99999999999\r\n"), "413" },
+				{ post("Transfer-Encoding: chunked\r\n") + "nonsense\r\n", "400" },
+				{ post("Bad Header : x\r\n") + "\r\n", "400" }, };
+	}
+
+	@Test(dataProvider = "badInput")
+	public void badInputIsRefusedAndTheConnectionClosed(String input, String status) throws Exception {
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write(input);
+			String read = caller.readAll();
+			assertTrue(read.startsWith("HTTP/1.1 " + status + " "), read);
+			assertEquals(read.split("HTTP/1.1").length, 2, read);
+		}
+		assertEquals(this.fleet.send(0, Fleet.Call.get("/ledger/after").by("org-1")).statusCode(), 200);
+	}
+
+	@Test
+	public void aBodyBeyondTheBoundIsRefused() throws Exception {
+		Fleet.Call call = new Fleet.Call("POST", "/ledger/dues", List.of(), "x".repeat(2_000_000)).by("org-1");
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write(post("Content-Length: " + call.body().length() + "\r\n"));
+			assertTrue(caller.readAll().startsWith("HTTP/1.1 413 "));
+		}
+	}
+
+	@DataProvider
+	public Object[][] misplacedKeys() {
+		return new Object[][] { { "/ledger/x?key=" + KEY, "" }, { "/ledger/" + KEY + "/x", "" },
+				{ "/ledger/x?key=org%2D1-1%2Esecret-of-org-1", "" }, { "/open/x?key=" + KEY, "" },
+				{ "/open/x", "X-Api-Key: " + KEY + "\r\n" }, { "/ledger/x", "Cookie: a=b; key=" + KEY + "\r\n" },
+				{ "/ledger/x", "Proxy-Authorization: Bearer " + KEY + "\r\n" } };
+	}
+
+	@Test(dataProvider = "misplacedKeys")
+	public void aKeyElsewhereIsNeitherAcceptedNorForwarded(String path, String header) throws Exception {
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + header + "\r\n");
+			String read = caller.readAll();
+			assertTrue(read.startsWith("HTTP/1.1 400 ") && read.contains("key-misplaced"), read);
+		}
+	}
+
+	@Test
+	public void headersOfTheCallerNeverPassForThoseOfTheEntryHost() throws Exception {
+		String answer = answer("masticlane-organisation: org-3\r\nMasticlane-Organisation: org-4\r\n"
+				+ "Connection: close, Masticlane-Organisation\r\nAuthorization: Bearer " + KEY + "\r\n");
+		assertTrue(answer.contains(" org-1 /ledger/x"), answer);
+		this.fleet.backendServers().forEach((server) -> {
+			assertFalse(server.headerNames().contains("authorization"));
+			assertTrue(server.lastHeaders().getAll("Masticlane-Organisation").size() <= 1);
+		});
+	}
+
+	@Test
+	public void doubledKeysAreRefusedAndAFoldedOneIsOneKeyOrNone() throws Exception {
+		String authorization = "Authorization: Bearer " + KEY + "\r\n";
+		assertTrue(answer(authorization + authorization).startsWith("HTTP/1.1 403 "));
+		assertTrue(answer(authorization + "authorization: Bearer " + Fleet.key("org-2") + "\r\n")
+			.startsWith("HTTP/1.1 403 "));
+		String folded = answer("Authorization: Bearer\r\n " + KEY + "\r\n");
+		assertTrue(folded.startsWith("HTTP/1.1 4") || folded.contains(" org-1 /ledger/x"), folded);
+		assertTrue(answer("Authorization: Bearer " + KEY + "\r\n x\r\n").startsWith("HTTP/1.1 4"));
+		assertTrue(answer("Authorization: Basic " + KEY + "\r\n").startsWith("HTTP/1.1 403 "));
+	}
+
+	private String answer(String headers) throws IOException {
+		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
+			caller.write("GET /ledger/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + headers + "\r\n");
+			return caller.readAll();
+		}
+	}
+
+	private HttpResponse<String> get(String answer) throws IOException, InterruptedException {
+		return this.fleet.send(0, Fleet.Call.get("/ledger/x?answer=" + answer).by("org-1"));
+	}
+
+	private static String request(String path) {
+		return "GET " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + KEY + "\r\n\r\n";
+	}
+
+	private static String post(String headers) {
+		return "POST /ledger/dues HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nAuthorization: Bearer " + KEY + "\r\n"
+				+ headers + "\r\n";
+	}
+
+	private int cancelled() {
+		return this.fleet.backendServers().stream().mapToInt(BackendStandIn::cancelled).sum();
+	}
+
+	private int running() {
+		return this.fleet.backendServers().stream().mapToInt(BackendStandIn::running).sum();
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/operation/RefusalsOfOperationsTests.java
@@ -0,0 +1,120 @@
+package io.masticlane.operation;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+
+import io.masticlane.configuration.Configuration;
+import io.masticlane.configuration.Organisation;
+import io.masticlane.fixture.Await;
+import io.masticlane.fixture.Fleet;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Checks what refusals say against the runs that a backend server with one slot counts.
+ */
+public class RefusalsOfOperationsTests {
+
+	private static final int MAXIMUM_REQUESTS = 100;
+
+	private Fleet fleet;
+
+	@BeforeClass
+	public void startFleet() throws IOException {
+		this.fleet = Fleet.start(2, 1, 1, 5, RefusalsOfOperationsTests::withSmallRate);
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stopFleet() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	@Test
+	public void anOverloadIsNotRunAtEveryEntryHostAndTheRetryRuns() throws Exception {
+		for (int entryHost = 0; entryHost < 2; entryHost++) {
+			String operation = operation();
+			CompletableFuture<HttpResponse<String>> running = occupySlot();
+			HttpResponse<String> refused = this.fleet.send(entryHost,
+					Fleet.Call.post("/ledger/dues", operation).by("org-1").with("Deadline-Millis", "200"));
+			assertEquals(outcome(refused), "not-run", refused.body());
+			assertEquals(this.fleet.runs(operation), 0);
+			assertEquals(running.join().statusCode(), 200);
+			Fleet.Call again = Fleet.Call.post("/ledger/dues", operation).by("org-1");
+			Await.until("the retry is answered", () -> this.fleet.send(1, again).statusCode() == 200);
+			assertEquals(this.fleet.runs(operation), 1);
+		}
+	}
+
+	@Test
+	public void aRateRefusalIsNotRunAtTheOwnerAloneAndNeverOnceTheOperationRan() throws Exception {
+		String ran = operation();
+		Await.until("an operation ran", () -> post(0, ran).statusCode() == 200);
+		assertEquals(outcome(refusedByRate(0, null)), "not-run");
+		assertEquals(outcome(refusedByRate(1, null)), "unknown");
+		HttpResponse<String> again = post(0, ran);
+		assertTrue(again.statusCode() == 200 || outcome(again).equals("unknown"), again.body());
+		assertEquals(outcome(refusedByRate(0, ran)), "unknown");
+		assertEquals(this.fleet.runs(ran), 1);
+	}
+
+	@Test
+	public void aRefusalOfAnOperationThatRanNeverSaysNotRun() throws Exception {
+		String operation = operation();
+		Fleet.Call call = Fleet.Call.post("/ledger/dues", operation);
+		assertEquals(this.fleet.send(0, call.by("org-1")).statusCode(), 200);
+		assertEquals(outcome(this.fleet.send(0, call)), "unknown");
+		assertEquals(outcome(this.fleet.send(0, call.with("Authorization", "Bearer org-1-1.wrong"))), "unknown");
+		assertEquals(outcome(this.fleet.send(0, Fleet.Call.post("/nowhere", operation))), "unknown");
+	}
+
+	private CompletableFuture<HttpResponse<String>> occupySlot() {
+		String operation = operation();
+		CompletableFuture<HttpResponse<String>> running = CompletableFuture.supplyAsync(() -> {
+			try {
+				return this.fleet.send(0, Fleet.Call.post("/ledger/dues?answer=late", operation).by("org-2"));
+			}
+			catch (IOException | InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		Await.until("the slot is taken", () -> this.fleet.runs(operation) == 1);
+		return running;
+	}
+
+	private HttpResponse<String> refusedByRate(int entryHost, String operation) throws Exception {
+		HttpResponse<String> answer = null;
+		for (int each = 0; each < MAXIMUM_REQUESTS && (answer == null || answer.statusCode() != 429); each++) {
+			answer = post(entryHost, (operation != null) ? operation : operation());
+		}
+		assertEquals(answer.statusCode(), 429, answer.body());
+		return answer;
+	}
+
+	private HttpResponse<String> post(int entryHost, String operation) throws IOException, InterruptedException {
+		return this.fleet.send(entryHost, Fleet.Call.post("/ledger/dues", operation).by("org-8"));
+	}
+
+	private String operation() {
+		return this.fleet.operationPrefix(0, 1) + UUID.randomUUID();
+	}
+
+	private static String outcome(HttpResponse<String> answer) {
+		return answer.headers().firstValue("Request-Outcome").orElse("none");
+	}
+
+	private static Configuration withSmallRate(Configuration configuration) {
+		return configuration.withOrganisations(configuration.organisations()
+			.stream()
+			.map((each) -> each.name().equals("org-8") ? new Organisation(each.name(), 2, 4, each.keys()) : each)
+			.toList());
+	}
+
+}
