Stop an entry host without cutting a request, and spread that a backend server is leaving

Cause: the drain refused with SHUTTING_DOWN once the time to live of look-ups had passed, while callers on open connections and with look-ups made in the last moment still sent; peers and look-ups heard of it a heartbeat late; the listening socket and connections closed whatever was under way.

Change: peers hear of the stop at once and look-ups drop the host; each answer asks to close the connection; the host serves on until the time to live and a heartbeat have passed and no request came for half a second, closes connections only while idle and flushed, then ends. A backend server that answers Backend-State: leaving gets no new work, and peers tell each other. Callers' side: EntryServices carries whether the host is leaving, and the handler of a connection closes it while idle.

--- a/masticlane/src/main/java/io/masticlane/backend/Balancer.java
+++ b/masticlane/src/main/java/io/masticlane/backend/Balancer.java
@@ -45,6 +45,20 @@
 	 */
 	void report(String server, BackendReport report, long now);
 
+	/**
+	 * Receives from another entry host that a backend server is leaving.
+	 * @param server the name of the backend server
+	 * @param now the present in nanoseconds
+	 */
+	void leave(String server, long now);
+
+	/**
+	 * Returns the backend servers that lately told themselves that they are leaving.
+	 * @param now the present in nanoseconds
+	 * @return the names of the backend servers
+	 */
+	List<String> leaving(long now);
+
 	/**
 	 * What an attempt needs.
 	 *
--- a/masticlane/src/main/java/io/masticlane/backend/ServerSlots.java
+++ b/masticlane/src/main/java/io/masticlane/backend/ServerSlots.java
@@ -29,6 +29,8 @@
 
 	private static final long LEAVING_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+	private static final long TELL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private static final int RESERVED_PART = 4;
 
 	private static final int IDLE_DIVISOR = 3;
@@ -57,6 +59,8 @@
 
 	private long leavingUntil;
 
+	private long tellUntil;
+
 	private BackendReport report = BackendReport.NONE;
 
 	private long reportedAt;
@@ -66,6 +70,7 @@
 		this.overflowBackOffUntil = now;
 		this.rampUntil = cold ? now + RAMP_NANOS : now;
 		this.leavingUntil = now;
+		this.tellUntil = now;
 		this.reportedAt = now;
 	}
 
@@ -141,10 +146,19 @@
 		this.report = report;
 		this.reportedAt = now;
 		if (report.leaving()) {
-			this.leavingUntil = now + LEAVING_NANOS;
+			this.tellUntil = now + TELL_NANOS;
+			leave(now);
 		}
 	}
 
+	void leave(long now) {
+		this.leavingUntil = now + LEAVING_NANOS;
+	}
+
+	boolean toldLeaving(long now) {
+		return this.tellUntil - now > 0;
+	}
+
 	private int ownSlots(long now) {
 		int bound = ramping(now) ? rampedSlots(now) : this.server.slots();
 		int own = (int) Arrays.stream(this.share).filter((slot) -> slot < bound).count();
--- a/masticlane/src/main/java/io/masticlane/backend/SlotBalancer.java
+++ b/masticlane/src/main/java/io/masticlane/backend/SlotBalancer.java
@@ -89,6 +89,20 @@
 		}
 	}
 
+	@Override
+	public void leave(String server, long now) {
+		Optional.ofNullable(this.slots.get(server)).ifPresent((slots) -> slots.leave(now));
+	}
+
+	@Override
+	public List<String> leaving(long now) {
+		return this.slots.values()
+			.stream()
+			.filter((slots) -> slots.toldLeaving(now))
+			.map((slots) -> slots.server().name())
+			.toList();
+	}
+
 	private static Optional<ServerSlots> best(List<ServerSlots> servers, Demand demand, long now) {
 		return servers.stream()
 			.filter((slots) -> slots.open(now)
--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -25,6 +25,11 @@
  */
 public final class CallerServer {
 
+	/**
+	 * Asks a connection to close if no request is under way on it.
+	 */
+	static final Object CLOSE_IDLE = new Object();
+
 	private static final int MAXIMUM_HEAD_BYTES = 16 * 1024;
 
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
@@ -83,6 +88,17 @@
 			.forEach((channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(table)));
 	}
 
+	/**
+	 * Closes the connections without a request under way, once all written is flushed.
+	 * @return the number of connections that were open
+	 */
+	public int closeIdle() {
+		int open = this.callers.size();
+		this.callers.forEach(
+				(channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(CLOSE_IDLE)));
+		return open;
+	}
+
 	private void initialize(SocketChannel channel) {
 		this.callers.add(channel);
 		BackendConnections pool = this.connections.computeIfAbsent(channel.eventLoop(), BackendConnections::new);
--- a/masticlane/src/main/java/io/masticlane/caller/EntryServices.java
+++ b/masticlane/src/main/java/io/masticlane/caller/EntryServices.java
@@ -16,9 +16,10 @@
  * room
  * @param table the routing table in force, or {@code null} before the first configuration
  * @param lookUps the answers to look-ups
+ * @param leaving whether callers are to close their connections after each answer
  * @param stopping whether the daemon is stopping
  * @param metrics the metrics of the daemon
  */
 public record EntryServices(Steering steering, Predicate<Runnable> decisions, Supplier<RoutingTable> table,
-		LookUps lookUps, BooleanSupplier stopping, Metrics metrics) {
+		LookUps lookUps, BooleanSupplier leaving, BooleanSupplier stopping, Metrics metrics) {
 }
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -93,7 +93,7 @@
 		this.request = request;
 		this.services = services;
 		this.connections = connections;
-		this.keepAlive = HttpUtil.isKeepAlive(request);
+		this.keepAlive = HttpUtil.isKeepAlive(request) && !services.leaving().getAsBoolean();
 		this.check = RequestCheck.of(request, services);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -36,6 +36,8 @@
 
 	private Exchange current;
 
+	private boolean closing;
+
 	RequestHandler(EntryServices services, BackendConnections connections) {
 		this.services = services;
 		this.connections = connections;
@@ -77,6 +79,9 @@
 		if (event instanceof RoutingTable table && this.current != null) {
 			this.current.keysChanged(table);
 		}
+		else if (event == CallerServer.CLOSE_IDLE && this.current == null && !this.closing) {
+			closeAfterFlush(context);
+		}
 	}
 
 	@Override
@@ -87,7 +92,7 @@
 	void completed(ChannelHandlerContext context, boolean keepAlive) {
 		this.current = null;
 		if (!keepAlive || !context.channel().isActive()) {
-			context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			closeAfterFlush(context);
 			return;
 		}
 		FullHttpRequest next = this.pipelined.pollFirst();
@@ -96,6 +101,11 @@
 		}
 	}
 
+	private void closeAfterFlush(ChannelHandlerContext context) {
+		this.closing = true;
+		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	private void pipeline(ChannelHandlerContext context, FullHttpRequest request) {
 		if (this.pipelined.size() < MAXIMUM_PIPELINED) {
 			this.pipelined.addLast(request);
@@ -117,7 +127,7 @@
 	}
 
 	private void lookUp(ChannelHandlerContext context, FullHttpRequest request) {
-		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.services.leaving().getAsBoolean();
 		request.release();
 		this.services.metrics().lookUp();
 		if (this.services.table().get() == null) {
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -66,8 +66,6 @@
 
 	private static final long DIRECTORY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	private static final long DRAIN_STEP_MILLIS = 20;
-
 	private static final OperationLedger.Bounds OPERATION_BOUNDS = new OperationLedger.Bounds(262_144, 65_536,
 			16 * 1024 * 1024);
 
@@ -125,6 +123,8 @@
 
 	private volatile int inFlight;
 
+	private volatile long arrivals;
+
 	private final StoreContact storeContact = new StoreContact(System.nanoTime());
 
 	private final HeartbeatEchoes echoes = new HeartbeatEchoes();
@@ -157,7 +157,7 @@
 				new RegionOrder.NearestFirst(settings.dataCentre()));
 		registerHandlers();
 		EntryServices services = new EntryServices(this.steering, this::decide, this.configuration::table,
-				(client) -> this.directory.answer(client), () -> this.stopping, this.metrics);
+				(client) -> this.directory.answer(client), () -> this.leaving, () -> this.stopping, this.metrics);
 		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
@@ -173,17 +173,16 @@
 
 	/**
 	 * Stops as planned: steers callers away, goes on serving until their cached look-ups
-	 * have expired, then ends when no request is in flight.
+	 * have expired and no request arrives any more, then ends when no request is in
+	 * flight.
 	 */
 	public void drain() {
 		this.leaving = true;
 		this.events.record(Event.ENTRY_STOPPING, this.settings.host(), this.inFlight);
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainMillis());
-		pause(Math.min(this.settings.drainMillis(), this.settings.lookUpTtlMillis()));
-		this.stopping = true;
-		while (this.inFlight > 0 && deadline - System.nanoTime() > 0) {
-			pause(DRAIN_STEP_MILLIS);
-		}
+		this.decisions.offer(this::tellLeaving);
+		new PlannedStop(Duration.ofMillis(this.settings.drainMillis()),
+				Duration.ofMillis(this.settings.lookUpTtlMillis() + this.settings.heartbeatMillis()))
+			.run(() -> this.arrivals, () -> this.inFlight, this::closeIdleCallers);
 		this.events.record(Event.ENTRY_STOPPED, this.settings.host(), this.inFlight);
 		close();
 	}
@@ -202,7 +201,21 @@
 		this.platformClient.shutdownNow();
 	}
 
+	private void tellLeaving() {
+		sendHeartbeats(System.nanoTime());
+		if (this.configuration.table() != null) {
+			publishDirectory();
+		}
+	}
+
+	private int closeIdleCallers() {
+		this.callerChannel.close();
+		return this.callers.closeIdle();
+	}
+
 	private void registerHandlers() {
+		this.router.on(Message.BackendLeaving.class,
+				(peer, told) -> this.steering.leavingHeard(told.server(), System.nanoTime()));
 		this.router.on(Message.OperationClaim.class, this.operations::claimed);
 		this.router.on(Message.OperationRelease.class, this.operations::released);
 		this.router.on(Message.OperationVerdict.class,
@@ -266,6 +279,7 @@
 		long now = System.nanoTime();
 		this.steering.tick(now);
 		this.inFlight = this.steering.inFlight();
+		this.arrivals = this.steering.arrivals();
 		this.operations.tick(now);
 		if (this.configuration.table() != null && now - this.nextDirectory >= 0) {
 			this.nextDirectory = now + DIRECTORY_NANOS;
@@ -275,6 +289,8 @@
 				this.members.heard(now).stream().map(Member::host).toList(), this.storeContact.ageMillis(now));
 		if (now - this.nextHeartbeat >= 0) {
 			sendHeartbeats(now);
+			this.steering.leavingServers(now)
+				.forEach((server) -> this.network.sendOnEveryConnection((peer) -> new Message.BackendLeaving(server)));
 		}
 	}
 
@@ -310,15 +326,6 @@
 				+ "}\n";
 	}
 
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static EventLoopGroup loops(String name, int count) {
 		return new MultiThreadIoEventLoopGroup(count, threads(name), NioIoHandler.newFactory());
 	}
--- a/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -98,7 +98,9 @@
 			.thenComparing((host) -> table.distance(region, table.region(configured.get(host.host()).dataCentre())))
 			.thenComparing(HeardHost::load)
 			.thenComparing(HeardHost::host);
+		boolean allLeaving = hosts.stream().allMatch(HeardHost::leaving);
 		String list = hosts.stream()
+			.filter((host) -> allLeaving || !host.leaving())
 			.sorted(order)
 			.map((host) -> entry(configured.get(host.host()), host, table))
 			.collect(Collectors.joining(","));
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -87,6 +87,11 @@
 				decoded = LeaseRelayed.decodeFields(unpacker);
 				unpacker.skipValue(size - 3);
 				break;
+			case 12:
+				MessageFrame.checkSize(tag, size, 2);
+				decoded = BackendLeaving.decodeFields(unpacker);
+				unpacker.skipValue(size - 2);
+				break;
 			default:
 				throw new MalformedMessageException("unknown message tag " + tag);
 		}
@@ -391,4 +396,23 @@
 		}
 	}
 
+	/**
+	 * Tells that a backend server asked for no new work.
+	 *
+	 * @param server the configured name of the backend server
+	 */
+	record BackendLeaving(String server) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(2);
+			packer.packInt(12);
+			packer.packString(this.server);
+		}
+
+		private static BackendLeaving decodeFields(MessageUnpacker unpacker) throws IOException {
+			String server = unpacker.unpackString();
+			return new BackendLeaving(server);
+		}
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -1,6 +1,7 @@
 package io.masticlane.steering;
 
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Set;
 
 import io.masticlane.backend.BackendReport;
@@ -33,6 +34,8 @@
 
 	private int inFlight;
 
+	private long arrivals;
+
 	/**
 	 * Creates a new decision core.
 	 * @param limits the fleet-wide limits
@@ -69,6 +72,7 @@
 	public Flight arrive(Arrival arrival, long now) {
 		Flight flight = new Flight(arrival);
 		this.inFlight++;
+		this.arrivals++;
 		if (!admitted(arrival, now)) {
 			refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED));
 		}
@@ -115,6 +119,24 @@
 		this.balancer.report(server, report, now);
 	}
 
+	/**
+	 * Receives from another entry host that a backend server is leaving.
+	 * @param server the name of the backend server
+	 * @param now the present in nanoseconds
+	 */
+	public void leavingHeard(String server, long now) {
+		this.balancer.leave(server, now);
+	}
+
+	/**
+	 * Returns the backend servers that lately told themselves that they are leaving.
+	 * @param now the present in nanoseconds
+	 * @return the names of the backend servers
+	 */
+	public List<String> leavingServers(long now) {
+		return this.balancer.leaving(now);
+	}
+
 	/**
 	 * Lets time pass: queued requests expire, and backed-off backend servers are used
 	 * again.
@@ -132,6 +154,14 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Returns the requests that have arrived so far.
+	 * @return the requests that have arrived so far
+	 */
+	public long arrivals() {
+		return this.arrivals;
+	}
+
 	/**
 	 * Returns the requests that wait for a slot.
 	 * @return the requests that wait for a slot
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/entry/PlannedStopTests.java
@@ -0,0 +1,96 @@
+package io.masticlane.entry;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
+
+import io.masticlane.configuration.Configuration;
+import io.masticlane.demo.BackendStandIn;
+import io.masticlane.fixture.Await;
+import io.masticlane.fixture.CachingCaller;
+import io.masticlane.fixture.Fleet;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class PlannedStopTests {
+
+	private static final long LEAVING_SECONDS = 3;
+
+	private Fleet fleet;
+
+	private List<CachingCaller> callers;
+
+	@BeforeMethod
+	public void startFleet() throws IOException {
+		this.fleet = Fleet.start(7, 12, 7, 20, UnaryOperator.identity());
+		List<String> seeds = IntStream.range(1, 7).mapToObj(this.fleet::callerAddress).toList();
+		this.callers = IntStream.range(0, 21)
+			.mapToObj((number) -> new CachingCaller(seeds, Fleet.ORGANISATIONS.get(number % 8),
+					(addresses) -> addresses.stream().sorted().toList().get(number % addresses.size())))
+			.toList();
+		awaitAnswers(20);
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stopFleet() {
+		this.fleet.close();
+	}
+
+	@Test
+	public void aPlannedStopOfAnEntryHostCutsNoRequest() {
+		String stopped = this.fleet.callerAddress(0);
+		assertTrue(this.callers.stream().anyMatch((caller) -> caller.host().equals(stopped)), "nobody uses the host");
+		long began = System.nanoTime();
+		this.fleet.entry(0).terminate();
+		this.fleet.entry(0).awaitEnd();
+		long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+		awaitAnswers(20);
+		finishCallers();
+		System.out.println("drain of an entry host: " + millis + " ms");
+	}
+
+	@Test
+	public void aBackendServerThatIsConfiguredAsLeavingGetsNoNewWorkAfterThreeSeconds() {
+		Configuration present = this.fleet.configuration();
+		this.fleet.apply(present.withBackendServers(present.backendServers()
+			.stream()
+			.map((server) -> server.withLeaving(server.name().equals("ledger-1")))
+			.toList()));
+		assertNoNewWork(this.fleet.backendServer(0));
+	}
+
+	@Test
+	public void aBackendServerThatTellsItIsLeavingGetsNoNewWorkAfterThreeSeconds() {
+		this.fleet.backendServer(0).leaving(true);
+		assertNoNewWork(this.fleet.backendServer(0));
+	}
+
+	private void assertNoNewWork(BackendStandIn server) {
+		long began = System.nanoTime();
+		Await.until("the promised time has passed",
+				() -> System.nanoTime() - began > TimeUnit.SECONDS.toNanos(LEAVING_SECONDS));
+		int begun = server.begun();
+		awaitAnswers(50);
+		assertEquals(server.begun(), begun, "new work after " + LEAVING_SECONDS + " s");
+		assertEquals(server.running(), 0);
+		finishCallers();
+	}
+
+	private void awaitAnswers(int more) {
+		List<Integer> former = this.callers.stream().map(CachingCaller::answered).toList();
+		Await.until("every caller has " + more + " more answers", () -> IntStream.range(0, this.callers.size())
+			.allMatch((index) -> this.callers.get(index).answered() >= former.get(index) + more));
+	}
+
+	private void finishCallers() {
+		this.callers.forEach(CachingCaller::close);
+		assertEquals(this.callers.stream().flatMap((caller) -> caller.failures().stream()).toList(), List.of());
+	}
+
+}
