--- a/masticlane/src/main/java/io/masticlane/steering/Dispatcher.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Dispatcher.java
@@ -164,7 +164,7 @@
 	 */
 	private boolean begin(ServiceQueue queue, Flight flight, long now) {
 		String service = flight.arrival().match().service().name();
-		boolean speculative = flight.attempts() + 1 < MAXIMUM_ATTEMPTS && budget(flight).available();
+		boolean speculative = flight.attempts() + 1 < MAXIMUM_ATTEMPTS && budget(flight).ample();
 		Balancer.Overflow overflow = speculative ? overflow(queue, flight, now) : Balancer.Overflow.NONE;
 		Balancer.Demand demand = new Balancer.Demand(service, flight.tried(), overflow,
 				this.regions.order(service, now), now - flight.queuedAt(),
--- a/masticlane/src/main/java/io/masticlane/steering/RetryBudget.java
+++ b/masticlane/src/main/java/io/masticlane/steering/RetryBudget.java
@@ -10,6 +10,8 @@
 
 	private static final double MOST_SAVED_RETRIES = 10;
 
+	private static final double KEPT_RETRIES = 3;
+
 	private double retries = MOST_SAVED_RETRIES;
 
 	/**
@@ -20,11 +22,12 @@
 	}
 
 	/**
-	 * Tells whether a retry is left.
-	 * @return whether a retry is left
+	 * Tells whether retries are left for an attempt that is likely to need one, so that
+	 * some stay for the others.
+	 * @return whether retries are left for an attempt that is likely to need one
 	 */
-	boolean available() {
-		return this.retries >= 1;
+	boolean ample() {
+		return this.retries >= KEPT_RETRIES;
 	}
 
 	/**
@@ -32,7 +35,7 @@
 	 * @return whether the request may be tried again
 	 */
 	boolean take() {
-		if (!available()) {
+		if (this.retries < 1) {
 			return false;
 		}
 		this.retries--;
