--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -17,7 +17,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
 /**
@@ -25,6 +24,11 @@
  */
 public final class CallerServer {
 
+	/**
+	 * Asks a connection to close if no request is under way on it.
+	 */
+	static final Object CLOSE_IDLE = new Object();
+
 	private static final int MAXIMUM_HEAD_BYTES = 16 * 1024;
 
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
@@ -83,13 +87,24 @@
 			.forEach((channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(table)));
 	}
 
+	/**
+	 * Closes the connections without a request under way, once all written is flushed.
+	 * @return the number of connections that were open
+	 */
+	public int closeIdle() {
+		int open = this.callers.size();
+		this.callers.forEach(
+				(channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(CLOSE_IDLE)));
+		return open;
+	}
+
 	private void initialize(SocketChannel channel) {
 		this.callers.add(channel);
 		BackendConnections pool = this.connections.computeIfAbsent(channel.eventLoop(), BackendConnections::new);
 		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 			.setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
 		channel.pipeline()
-			.addLast(new HttpServerCodec(decoder), new BodyAggregator(this.maximumBodyBytes),
+			.addLast(new CallerCodec(decoder), new BodyAggregator(this.maximumBodyBytes),
 					new RequestHandler(this.services, pool));
 	}
 
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -32,7 +32,9 @@
 
 	private final BackendConnections connections;
 
-	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+	private final Deque<Object> pipelined = new ArrayDeque<>();
+
+	private boolean closing;
 
 	private Exchange current;
 
@@ -43,17 +45,25 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		FullHttpRequest request = (FullHttpRequest) message;
-		if (request.decoderResult().isFailure()) {
-			request.release();
-			refuseAndClose(context, ErrorKind.MALFORMED_REQUEST);
+		if (this.closing) {
+			ReferenceCountUtil.release(message);
+			return;
 		}
-		else if (this.current != null) {
-			pipeline(context, request);
+		Object next = checked(message);
+		if (this.current != null) {
+			pipeline(context, next);
 		}
 		else {
-			serve(context, request);
+			serve(context, next);
+		}
+	}
+
+	private static Object checked(Object message) {
+		if (message instanceof FullHttpRequest request && request.decoderResult().isFailure()) {
+			request.release();
+			return RefusedRequest.malformed(request);
 		}
+		return message;
 	}
 
 	@Override
@@ -77,6 +87,9 @@
 		if (event instanceof RoutingTable table && this.current != null) {
 			this.current.keysChanged(table);
 		}
+		else if (event == CallerServer.CLOSE_IDLE && this.current == null && !this.closing) {
+			closeAfterFlush(context);
+		}
 	}
 
 	@Override
@@ -87,26 +100,37 @@
 	void completed(ChannelHandlerContext context, boolean keepAlive) {
 		this.current = null;
 		if (!keepAlive || !context.channel().isActive()) {
-			context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			closeAfterFlush(context);
 			return;
 		}
-		FullHttpRequest next = this.pipelined.pollFirst();
+		Object next = this.pipelined.pollFirst();
 		if (next != null) {
 			serve(context, next);
 		}
 	}
 
-	private void pipeline(ChannelHandlerContext context, FullHttpRequest request) {
+	private void closeAfterFlush(ChannelHandlerContext context) {
+		this.closing = true;
+		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	private void pipeline(ChannelHandlerContext context, Object request) {
 		if (this.pipelined.size() < MAXIMUM_PIPELINED) {
 			this.pipelined.addLast(request);
 		}
 		else {
-			request.release();
+			ReferenceCountUtil.release(request);
 			context.close();
 		}
 	}
 
-	private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+	private void serve(ChannelHandlerContext context, Object message) {
+		if (message instanceof RefusedRequest refused) {
+			this.closing = true;
+			answer(context, Answers.refusal(refused.refusal(), false), false);
+			return;
+		}
+		FullHttpRequest request = (FullHttpRequest) message;
 		if (request.uri().equals(LOOK_UP_PATH) && request.method().equals(HttpMethod.GET)) {
 			lookUp(context, request);
 		}
@@ -117,7 +141,7 @@
 	}
 
 	private void lookUp(ChannelHandlerContext context, FullHttpRequest request) {
-		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.services.leaving().getAsBoolean();
 		request.release();
 		this.services.metrics().lookUp();
 		if (this.services.table().get() == null) {
@@ -134,8 +158,4 @@
 		completed(context, keepAlive);
 	}
 
-	private void refuseAndClose(ChannelHandlerContext context, ErrorKind kind) {
-		context.writeAndFlush(Answers.refusal(Refusal.of(kind), false)).addListener(ChannelFutureListener.CLOSE);
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -69,8 +69,6 @@
 
 	private static final long DIRECTORY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	private static final long DRAIN_STEP_MILLIS = 20;
-
 	private static final OperationLedger.Bounds OPERATION_BOUNDS = new OperationLedger.Bounds(262_144, 65_536,
 			16 * 1024 * 1024);
 
@@ -132,6 +130,8 @@
 
 	private volatile int inFlight;
 
+	private volatile long arrivals;
+
 	private final KeyFreshness keyFreshness;
 
 	private final HeartbeatEchoes echoes = new HeartbeatEchoes();
@@ -163,6 +163,7 @@
 				events);
 		this.fleetLimits = new FleetLimits(this.self, this.members, store, settings.storePrefix(), executor(),
 				this.network::send, events);
+		this.network.register(this.metrics.registry());
 		this.ledger = new OperationLedger(this.self.incarnation(), OPERATION_BOUNDS);
 		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
@@ -172,8 +173,8 @@
 		registerHandlers();
 		this.fleetLimits.register(this.router);
 		EntryServices services = new EntryServices(this.steering, this::decide, this::servedTable,
-				(client) -> this.directory.answer(client), () -> !this.keyFreshness.fresh(System.nanoTime()),
-				() -> this.stopping, this.metrics);
+				(client) -> this.directory.answer(client), () -> this.leaving,
+				() -> !this.keyFreshness.fresh(System.nanoTime()), () -> this.stopping, this.metrics);
 		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
@@ -189,17 +190,16 @@
 
 	/**
 	 * Stops as planned: steers callers away, goes on serving until their cached look-ups
-	 * have expired, then ends when no request is in flight.
+	 * have expired and no request arrives any more, then ends when no request is in
+	 * flight.
 	 */
 	public void drain() {
 		this.leaving = true;
 		this.events.record(Event.ENTRY_STOPPING, this.settings.host(), this.inFlight);
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(this.settings.drainMillis());
-		pause(Math.min(this.settings.drainMillis(), this.settings.lookUpTtlMillis()));
-		this.stopping = true;
-		while (this.inFlight > 0 && deadline - System.nanoTime() > 0) {
-			pause(DRAIN_STEP_MILLIS);
-		}
+		this.decisions.offer(this::tellLeaving);
+		new PlannedStop(Duration.ofMillis(this.settings.drainMillis()),
+				Duration.ofMillis(this.settings.lookUpTtlMillis() + this.settings.heartbeatMillis()))
+			.run(() -> this.arrivals, () -> this.inFlight, this::closeIdleCallers);
 		this.events.record(Event.ENTRY_STOPPED, this.settings.host(), this.inFlight);
 		close();
 	}
@@ -218,7 +218,21 @@
 		this.platformClient.shutdownNow();
 	}
 
+	private void tellLeaving() {
+		sendHeartbeats(System.nanoTime());
+		if (this.configuration.table() != null) {
+			publishDirectory();
+		}
+	}
+
+	private int closeIdleCallers() {
+		this.callerChannel.close();
+		return this.callers.closeIdle();
+	}
+
 	private void registerHandlers() {
+		this.router.on(Message.BackendLeaving.class,
+				(peer, told) -> this.steering.leavingHeard(told.server(), System.nanoTime()));
 		this.router.on(Message.OperationClaim.class, this.operations::claimed);
 		this.router.on(Message.OperationRelease.class, this.operations::released);
 		this.router.on(Message.OperationVerdict.class,
@@ -300,11 +314,14 @@
 		long now = System.nanoTime();
 		this.steering.tick(now);
 		this.inFlight = this.steering.inFlight();
-		this.peerStatuses = peerStatuses(now);
+		this.arrivals = this.steering.arrivals();
 		this.operations.tick(now);
 		if (this.configuration.table() != null && now - this.nextDirectory >= 0) {
 			this.nextDirectory = now + DIRECTORY_NANOS;
+			this.peerStatuses = peerStatuses(now);
 			publishDirectory();
+		}
+		if (this.configuration.table() != null) {
 			this.fleetLimits.tick(now);
 		}
 		updateFreshness(now);
@@ -312,6 +329,8 @@
 				this.members.heard(now).stream().map(Member::host).toList(), this.keyFreshness.storeAgeMillis(now));
 		if (now - this.nextHeartbeat >= 0) {
 			sendHeartbeats(now);
+			this.steering.leavingServers(now)
+				.forEach((server) -> this.network.sendOnEveryConnection((peer) -> new Message.BackendLeaving(server)));
 		}
 	}
 
@@ -374,15 +393,6 @@
 			.toList();
 	}
 
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static EventLoopGroup loops(String name, int count) {
 		return new MultiThreadIoEventLoopGroup(count, threads(name), NioIoHandler.newFactory());
 	}
