--- a/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
@@ -144,11 +144,6 @@
 		public void configure(Configuration configuration, long revision, long now) {
 		}
 
-		@Override
-		public long nanosUntil(String limit, double tokens, long now) {
-			return 0;
-		}
-
 		@Override
 		public boolean take(String limit, double tokens, long now) {
 			return true;
