--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -6,6 +6,7 @@
 
 import io.masticlane.backend.AnswerReceiver;
 import io.masticlane.backend.BackendConnections;
+import io.masticlane.backend.BackendReport;
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.failure.ErrorKind;
 import io.masticlane.failure.Outcome;
@@ -268,6 +269,21 @@
 		this.services.metrics().request(service, this.check.organisation(), result, System.nanoTime() - this.started);
 	}
 
+	/**
+	 * Hands on what a backend server tells of itself; it tells again with its next
+	 * answer.
+	 * @param server the name of the backend server
+	 * @param head the head of its answer
+	 */
+	private void report(String server, HttpResponse head) {
+		BackendReport report = BackendReport.parse(head.headers().get(BackendReport.LOAD_HEADER, ""),
+				head.headers().get(BackendReport.STATE_HEADER, ""));
+		head.headers().remove(BackendReport.LOAD_HEADER).remove(BackendReport.STATE_HEADER);
+		if (report != BackendReport.NONE) {
+			this.services.decisions().test(() -> this.services.steering().reported(server, report, System.nanoTime()));
+		}
+	}
+
 	private void tell(AttemptEnd end) {
 		tell(() -> this.services.steering().attemptEnded(this.flight, end, System.nanoTime()));
 	}
@@ -320,6 +336,7 @@
 			if (!current()) {
 				return;
 			}
+			report(this.server.name(), head);
 			this.heard = true;
 			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
