--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -38,9 +38,9 @@
 				unpacker.skipValue(size - 4);
 				break;
 			case 2:
-				MessageFrame.checkSize(tag, size, 8);
+				MessageFrame.checkSize(tag, size, 9);
 				decoded = Heartbeat.decodeFields(unpacker);
-				unpacker.skipValue(size - 8);
+				unpacker.skipValue(size - 9);
 				break;
 			case 3:
 				MessageFrame.checkSize(tag, size, 2);
@@ -53,14 +53,14 @@
 				unpacker.skipValue(size - 3);
 				break;
 			case 5:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 9);
 				decoded = LoanRequest.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 9);
 				break;
 			case 6:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 8);
 				decoded = LoanGrant.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 8);
 				break;
 			case 7:
 				MessageFrame.checkSize(tag, size, 5);
@@ -87,6 +87,11 @@
 				decoded = LeaseRelayed.decodeFields(unpacker);
 				unpacker.skipValue(size - 3);
 				break;
+			case 12:
+				MessageFrame.checkSize(tag, size, 2);
+				decoded = BackendLeaving.decodeFields(unpacker);
+				unpacker.skipValue(size - 2);
+				break;
 			default:
 				throw new MalformedMessageException("unknown message tag " + tag);
 		}
@@ -129,12 +134,14 @@
 	 * @param leaving whether the sender is shutting down
 	 * @param load the requests in flight at the sender
 	 * @param epoch the epoch in which operations that the sender owns begin
+	 * @param storeCallAgeMillis the milliseconds since the store answered a lease call of
+	 * the sender or of a peer of it, or -1 if the sender started too recently to tell
 	 */
 	record Heartbeat(long sequence, long echo, long revision, long storeAgeMillis, boolean leaving, double load,
-			long epoch) implements Message {
+			long epoch, long storeCallAgeMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(8);
+			packer.packArrayHeader(9);
 			packer.packInt(2);
 			packer.packLong(this.sequence);
 			packer.packLong(this.echo);
@@ -143,6 +150,7 @@
 			packer.packBoolean(this.leaving);
 			packer.packDouble(this.load);
 			packer.packLong(this.epoch);
+			packer.packLong(this.storeCallAgeMillis);
 		}
 
 		private static Heartbeat decodeFields(MessageUnpacker unpacker) throws IOException {
@@ -153,7 +161,8 @@
 			boolean leaving = unpacker.unpackBoolean();
 			double load = unpacker.unpackDouble();
 			long epoch = unpacker.unpackLong();
-			return new Heartbeat(sequence, echo, revision, storeAgeMillis, leaving, load, epoch);
+			long storeCallAgeMillis = unpacker.unpackLong();
+			return new Heartbeat(sequence, echo, revision, storeAgeMillis, leaving, load, epoch, storeCallAgeMillis);
 		}
 	}
 
@@ -202,22 +211,28 @@
 	/**
 	 * Asks the receiver to lend part of its share of a limit.
 	 *
-	 * @param loan the identifier of the loan, unique within the sender's incarnation
+	 * @param loan the identifier of the loan, never used before by the sender's process
+	 * or a former one
 	 * @param limit the identifier of the limit
 	 * @param revision the configuration revision by which the shares were divided
-	 * @param rate the wanted rate in units per second
-	 * @param burst the wanted burst in units
-	 * @param termMillis the term of the loan in milliseconds
+	 * @param former the identifier of the loan that this one replaces, or zero
+	 * @param demand the sender's demand in units per second
+	 * @param rate the rate that the sender has besides the former loan, in units per
+	 * second
+	 * @param burst the burst that the sender has besides the former loan, in units
+	 * @param termMillis the longest term of the loan in milliseconds
 	 */
-	record LoanRequest(long loan, String limit, long revision, double rate, double burst,
+	record LoanRequest(long loan, String limit, long revision, long former, double demand, double rate, double burst,
 			long termMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(9);
 			packer.packInt(5);
 			packer.packLong(this.loan);
 			packer.packString(this.limit);
 			packer.packLong(this.revision);
+			packer.packLong(this.former);
+			packer.packDouble(this.demand);
 			packer.packDouble(this.rate);
 			packer.packDouble(this.burst);
 			packer.packLong(this.termMillis);
@@ -227,10 +242,12 @@
 			long loan = unpacker.unpackLong();
 			String limit = unpacker.unpackString();
 			long revision = unpacker.unpackLong();
+			long former = unpacker.unpackLong();
+			double demand = unpacker.unpackDouble();
 			double rate = unpacker.unpackDouble();
 			double burst = unpacker.unpackDouble();
 			long termMillis = unpacker.unpackLong();
-			return new LoanRequest(loan, limit, revision, rate, burst, termMillis);
+			return new LoanRequest(loan, limit, revision, former, demand, rate, burst, termMillis);
 		}
 	}
 
@@ -243,12 +260,14 @@
 	 * @param rate the lent rate in units per second
 	 * @param burst the lent burst in units
 	 * @param tokens the tokens handed over at once, at most the lent burst
+	 * @param termMillis the term of the loan in milliseconds, counted by the borrower
+	 * from its request
 	 */
-	record LoanGrant(long loan, String limit, long revision, double rate, double burst,
-			double tokens) implements Message {
+	record LoanGrant(long loan, String limit, long revision, double rate, double burst, double tokens,
+			long termMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(8);
 			packer.packInt(6);
 			packer.packLong(this.loan);
 			packer.packString(this.limit);
@@ -256,6 +275,7 @@
 			packer.packDouble(this.rate);
 			packer.packDouble(this.burst);
 			packer.packDouble(this.tokens);
+			packer.packLong(this.termMillis);
 		}
 
 		private static LoanGrant decodeFields(MessageUnpacker unpacker) throws IOException {
@@ -265,7 +285,8 @@
 			double rate = unpacker.unpackDouble();
 			double burst = unpacker.unpackDouble();
 			double tokens = unpacker.unpackDouble();
-			return new LoanGrant(loan, limit, revision, rate, burst, tokens);
+			long termMillis = unpacker.unpackLong();
+			return new LoanGrant(loan, limit, revision, rate, burst, tokens, termMillis);
 		}
 	}
 
@@ -391,4 +412,23 @@
 		}
 	}
 
+	/**
+	 * Tells that a backend server asked for no new work.
+	 *
+	 * @param server the configured name of the backend server
+	 */
+	record BackendLeaving(String server) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(2);
+			packer.packInt(12);
+			packer.packString(this.server);
+		}
+
+		private static BackendLeaving decodeFields(MessageUnpacker unpacker) throws IOException {
+			String server = unpacker.unpackString();
+			return new BackendLeaving(server);
+		}
+	}
+
 }
