--- a/masticlane/src/test/java/io/masticlane/backend/SlotBalancerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/SlotBalancerTests.java
@@ -18,6 +18,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class SlotBalancerTests {
@@ -65,6 +66,17 @@
 		assertTrue(!chosen.contains("ledger-1") && !chosen.contains("ledger-4"), chosen.toString());
 	}
 
+	@Test
+	public void whatABackendServerToldItselfIsToldToOthersAndNotToldAgainByThem() {
+		SlotBalancer first = balancer("entry-1", CONFIGURATION);
+		first.report("ledger-1", new BackendReport(0, SLOTS, true), 0);
+		assertEquals(first.leaving(1), List.of("ledger-1"));
+		SlotBalancer second = balancer("entry-4", CONFIGURATION);
+		second.leave("ledger-1", 0);
+		assertEquals(second.leaving(1), List.of());
+		assertFalse(fill(second, Balancer.Overflow.ANY, 1).contains("ledger-1"));
+	}
+
 	@Test
 	public void aColdBackendServerGetsItsSlotsLittleByLittle() {
 		Configuration without = CONFIGURATION.withBackendServers(CONFIGURATION.backendServers().subList(1, 12));
