--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -22,7 +22,6 @@
 import io.masticlane.duty.Duty;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
-import io.masticlane.limit.Limits;
 import io.masticlane.membership.EntryHostDirectory;
 import io.masticlane.membership.HeartbeatEchoes;
 import io.masticlane.membership.KeyFreshness;
@@ -95,6 +94,8 @@
 
 	private final MessageRouter router = new MessageRouter();
 
+	private final FleetLimits fleetLimits;
+
 	private final OperationLedger ledger;
 
 	private final OwnedOperations operations;
@@ -160,13 +161,17 @@
 				this.platformClient);
 		this.network = new PeerNetwork(this.peerLoops, this.self, settings.silenceMillis(), new DecidingListener(),
 				events);
+		this.fleetLimits = new FleetLimits(this.self, this.members, store, settings.storePrefix(), executor(),
+				this.network::send, events);
+		this.network.register(this.metrics.registry());
 		this.ledger = new OperationLedger(this.self.incarnation(), OPERATION_BOUNDS);
 		this.operations = new OwnedOperations(this.self.incarnation(), this.ledger, new PeerOwners(),
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				System.nanoTime());
-		this.steering = new Steering(new Limits.EqualShares(), this.operations, new SlotBalancer(settings.host()),
+		this.steering = new Steering(this.fleetLimits.limits(), this.operations, new SlotBalancer(settings.host()),
 				new RegionOrder.NearestFirst(settings.dataCentre()));
 		registerHandlers();
+		this.fleetLimits.register(this.router);
 		EntryServices services = new EntryServices(this.steering, this::decide, this::servedTable,
 				(client) -> this.directory.answer(client), () -> this.leaving,
 				() -> !this.keyFreshness.fresh(System.nanoTime()), () -> this.stopping, this.metrics);
@@ -242,6 +247,7 @@
 		if (this.members.heard(peer, heartbeat, System.nanoTime())) {
 			this.events.record(Event.PEER_HEARD, peer.host(), peer.incarnation());
 		}
+		this.fleetLimits.heard(peer, heartbeat, this.echoes.sentNotBefore(heartbeat.echo()), System.nanoTime());
 		this.echoes.heard(peer, heartbeat.sequence());
 		this.echoes.sentNotBefore(heartbeat.echo()).ifPresent((notBefore) -> contactTold(peer, heartbeat, notBefore));
 		if (this.configuration.wants(heartbeat.revision())
@@ -280,6 +286,7 @@
 
 	private void inForce(RoutingTable table, Message.ConfigurationPush push) {
 		this.steering.configure(table, System.nanoTime());
+		this.fleetLimits.configure(table.configuration(), table.revision(), System.nanoTime());
 		this.metrics.revision(table.revision());
 		this.metrics.burn().configure(table.configuration().objectives());
 		this.keyFreshness
@@ -314,6 +321,9 @@
 			this.peerStatuses = peerStatuses(now);
 			publishDirectory();
 		}
+		if (this.configuration.table() != null) {
+			this.fleetLimits.tick(now);
+		}
 		updateFreshness(now);
 		this.watchRole = WatchRole.of(this.configuration.table(), this.self.host(),
 				this.members.heard(now).stream().map(Member::host).toList(), this.keyFreshness.storeAgeMillis(now));
@@ -342,7 +352,8 @@
 
 	private Message.Heartbeat heartbeat(Peer peer, long sequence, long now) {
 		return new Message.Heartbeat(sequence, this.echoes.echo(peer), this.configuration.revision(),
-				this.keyFreshness.storeAgeMillis(now), this.leaving, this.inFlight, this.ledger.epoch());
+				this.keyFreshness.storeAgeMillis(now), this.leaving, this.inFlight, this.ledger.epoch(),
+				this.fleetLimits.storeCallAgeMillis(now));
 	}
 
 	private void publishDirectory() {
@@ -364,8 +375,8 @@
 	private StatusDocument status() {
 		long now = System.nanoTime();
 		return new StatusDocument(this.self.host(), this.self.incarnation(), this.configuration.revision(),
-				this.directory != null, this.leaving, this.inFlight, this.keyFreshness.storeAgeMillis(now), 0,
-				this.peerStatuses);
+				this.directory != null, this.leaving, this.inFlight, this.keyFreshness.storeAgeMillis(now),
+				this.fleetLimits.held().size(), this.peerStatuses);
 	}
 
 	private BurnDocument burn() {
--- a/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
@@ -149,6 +149,11 @@
 			return true;
 		}
 
+		@Override
+		public long nanosUntil(String limit, double tokens, long now) {
+			return 0;
+		}
+
 	}
 
 	/**
