Hold each region's capacity for every attempt

Cause: nothing counted what a region carries; the limit of each region existed and was not asked. Change: an attempt takes a token of its region after a slot was found there; without one the next region is asked, or the request waits.

--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -169,7 +169,7 @@
 				new StoreOperations(store, settings.storePrefix(), this.self.incarnation(), executor()),
 				System.nanoTime());
 		this.steering = new Steering(this.fleetLimits.limits(), this.operations, new SlotBalancer(settings.host()),
-				new RegionOrder.NearestFirst(settings.dataCentre()));
+				new RegionOrder.NearestFirst(settings.dataCentre(), this.fleetLimits.limits()));
 		registerHandlers();
 		this.fleetLimits.register(this.router);
 		EntryServices services = new EntryServices(this.steering, this::decide, this::servedTable,
--- a/masticlane/src/main/java/io/masticlane/steering/RegionOrder.java
+++ b/masticlane/src/main/java/io/masticlane/steering/RegionOrder.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import io.masticlane.backend.Balancer;
+import io.masticlane.limit.Limits;
 import io.masticlane.route.RoutingTable;
 
 /**
@@ -34,7 +35,8 @@
 	boolean admits(String region, long now);
 
 	/**
-	 * Takes the own region first, then the others from near to far.
+	 * Takes the own region first, then the others from near to far, each within its
+	 * fleet-wide capacity.
 	 */
 	final class NearestFirst implements RegionOrder {
 
@@ -42,14 +44,18 @@
 
 		private final String dataCentre;
 
+		private final Limits limits;
+
 		private List<Balancer.Candidate> order = List.of();
 
 		/**
 		 * Creates a new order.
 		 * @param dataCentre the data centre of this entry host
+		 * @param limits the fleet-wide limits, which hold the capacity of each region
 		 */
-		public NearestFirst(String dataCentre) {
+		public NearestFirst(String dataCentre, Limits limits) {
 			this.dataCentre = dataCentre;
+			this.limits = limits;
 		}
 
 		@Override
@@ -72,7 +78,7 @@
 
 		@Override
 		public boolean admits(String region, long now) {
-			return true;
+			return this.limits.take(Limits.ofRegion(region), 1, now);
 		}
 
 	}
--- a/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/steering/SteeringSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.masticlane.backend.BackendReport;
 import io.masticlane.backend.SlotBalancer;
@@ -52,12 +53,17 @@
 	private long sequence;
 
 	SteeringSimulation(Configuration configuration, long seed) {
+		this(configuration, seed, Unlimited::new);
+	}
+
+	SteeringSimulation(Configuration configuration, long seed, Supplier<Limits> limitsOfHost) {
 		this.random = new Random(seed);
 		this.table = RoutingTable.of(1, configuration);
 		configuration.backendServers().forEach((server) -> this.servers.put(server.name(), new Server(server)));
 		configuration.entryHosts().forEach((host) -> {
-			Steering steering = new Steering(new Unlimited(), null, new SlotBalancer(host.name()),
-					new RegionOrder.NearestFirst(host.dataCentre()));
+			Limits limits = limitsOfHost.get();
+			Steering steering = new Steering(limits, null, new SlotBalancer(host.name()),
+					new RegionOrder.NearestFirst(host.dataCentre(), limits));
 			steering.configure(this.table, this.now);
 			this.hosts.add(steering);
 			tick(steering);
--- a/masticlane/src/test/java/io/masticlane/steering/SteeringTests.java
+++ b/masticlane/src/test/java/io/masticlane/steering/SteeringTests.java
@@ -3,7 +3,11 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import io.masticlane.configuration.Configuration;
+import io.masticlane.configuration.Region;
 import io.masticlane.fixture.Fleet;
+import io.masticlane.limit.FleetLimit;
+import io.masticlane.limit.Limits;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -20,6 +24,8 @@
 
 	private static final long FLOODED_MILLIS = 185_000;
 
+	private static final double WEST_CAPACITY = 14;
+
 	private static final List<String> OTHERS = Fleet.ORGANISATIONS.subList(1, 8);
 
 	@DataProvider
@@ -48,6 +54,31 @@
 		assertEquals(lost + lost(simulation), 0, figures);
 	}
 
+	@Test(dataProvider = "seeds")
+	public void noRegionGetsMoreThanItsCapacityAndOthersTakeTheRest(long seed) {
+		Configuration described = Fleet.describe(7, 12, 7);
+		Configuration limited = described.withRegions(described.regions()
+			.stream()
+			.map((region) -> region.name().equals("west") ? new Region("west", WEST_CAPACITY) : region)
+			.toList());
+		SteeringSimulation simulation = new SteeringSimulation(limited, seed, Limits.EqualShares::new);
+		OTHERS.forEach((organisation) -> simulation.load(organisation, 40, WARM_MILLIS, ALL_HOSTS));
+		simulation.run(2 * WARM_MILLIS);
+		int west = limited.backendServers()
+			.stream()
+			.filter((server) -> server.dataCentre().startsWith("west"))
+			.mapToInt((server) -> simulation.begun(server.name()))
+			.sum();
+		double burst = FleetLimit.of(limited)
+			.stream()
+			.filter((limit) -> limit.identifier().equals(Limits.ofRegion("west")))
+			.mapToDouble(FleetLimit::burst)
+			.sum();
+		double allowed = WEST_CAPACITY * 2 * WARM_MILLIS / 1_000 + burst;
+		assertTrue(west > 0 && west <= allowed, "seed " + seed + ": " + west + " in west, allowed " + allowed);
+		assertTrue(simulation.begun() > 4 * west, "seed " + seed + ": " + west + " of " + simulation.begun());
+	}
+
 	private static double worst(SteeringSimulation simulation) {
 		return OTHERS.stream().mapToDouble((organisation) -> simulation.millis(organisation, 99)).max().orElseThrow();
 	}
