--- a/masticlane/src/main/java/io/masticlane/backend/Balancer.java
+++ b/masticlane/src/main/java/io/masticlane/backend/Balancer.java
@@ -1,91 +1,126 @@
 package io.masticlane.backend;
 
-import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.route.RoutingTable;
 import io.masticlane.steering.AttemptEnd;
-import org.agrona.collections.Object2IntHashMap;
 
 /**
- * Chooses a backend server for each attempt.
+ * Chooses a backend server for each attempt; used on the decisions' thread alone.
  */
 public interface Balancer {
 
 	/**
 	 * Takes a configuration into account.
 	 * @param table the routing table of the configuration
+	 * @param now the present in nanoseconds
 	 */
-	void configure(RoutingTable table);
+	void configure(RoutingTable table, long now);
 
 	/**
 	 * Chooses a backend server and takes one of its slots.
-	 * @param service the name of the service
-	 * @param tried the names of backend servers that the request has tried
+	 * @param demand what the attempt needs
+	 * @param now the present in nanoseconds
 	 * @return the backend server, or nothing if none has a free slot
 	 */
-	Optional<BackendServer> choose(String service, Set<String> tried);
+	Optional<Choice> choose(Demand demand, long now);
 
 	/**
 	 * Gives back the slot of an attempt.
 	 * @param server the backend server
 	 * @param end how the attempt ended
+	 * @param now the present in nanoseconds
+	 */
+	void release(BackendServer server, AttemptEnd end, long now);
+
+	/**
+	 * Receives what a backend server tells of itself.
+	 * @param server the name of the backend server
+	 * @param report the report
+	 * @param now the present in nanoseconds
+	 */
+	void report(String server, BackendReport report, long now);
+
+	/**
+	 * Receives from another entry host that a backend server is leaving.
+	 * @param server the name of the backend server
+	 * @param now the present in nanoseconds
+	 */
+	void leave(String server, long now);
+
+	/**
+	 * Returns the backend servers that lately told themselves that they are leaving.
+	 * @param now the present in nanoseconds
+	 * @return the names of the backend servers
 	 */
-	void release(BackendServer server, AttemptEnd end);
+	List<String> leaving(long now);
 
 	/**
-	 * Prefers the own region, then the smallest part of slots in use.
+	 * What an attempt needs.
+	 *
+	 * @param service the name of the service
+	 * @param tried the names of backend servers that the request has tried, which come
+	 * last
+	 * @param overflow the slots of other entry hosts that may be taken
+	 * @param regions the regions that may be used, in the order of preference
+	 * @param waitedNanos the time that the request has waited
+	 * @param admits whether a region has capacity for the attempt; asked at most once for
+	 * each region, and only when a slot is free there
 	 */
-	final class LeastLoaded implements Balancer {
+	record Demand(String service, Set<String> tried, Overflow overflow, List<Candidate> regions, long waitedNanos,
 
-		private final String dataCentre;
+			Predicate<String> admits) {
+	}
 
-		private final Object2IntHashMap<String> inUse = new Object2IntHashMap<>(0);
+	/**
+	 * The slots of other entry hosts that an attempt may take.
+	 */
+	enum Overflow {
 
-		private RoutingTable table;
+		/**
+		 * None.
+		 */
+		NONE,
 
 		/**
-		 * Creates a new balancer.
-		 * @param dataCentre the data centre of this entry host
+		 * Those that the backend server lately reported as free.
 		 */
-		public LeastLoaded(String dataCentre) {
-			this.dataCentre = dataCentre;
-		}
-
-		@Override
-		public void configure(RoutingTable table) {
-			this.table = table;
-		}
-
-		@Override
-		public Optional<BackendServer> choose(String service, Set<String> tried) {
-			Optional<BackendServer> chosen = this.table.backendServers(service)
-				.stream()
-				.filter((server) -> !server.leaving() && !tried.contains(server.name()))
-				.filter((server) -> this.inUse.getValue(server.name()) < server.slots())
-				.min(Comparator.comparing((BackendServer server) -> !local(server))
-					.thenComparing((server) -> (double) this.inUse.getValue(server.name()) / server.slots()));
-			chosen.ifPresent((server) -> this.inUse.put(server.name(), this.inUse.getValue(server.name()) + 1));
-			return chosen;
-		}
-
-		@Override
-		public void release(BackendServer server, AttemptEnd end) {
-			int remaining = this.inUse.getValue(server.name()) - 1;
-			if (remaining > 0) {
-				this.inUse.put(server.name(), remaining);
-			}
-			else {
-				this.inUse.remove(server.name());
-			}
-		}
-
-		private boolean local(BackendServer server) {
-			return this.table.region(server.dataCentre()).equals(this.table.region(this.dataCentre));
-		}
+		REPORTED_FREE,
 
+		/**
+		 * Those that may be free at a backend server that may be idle for the most part.
+		 */
+		IDLE,
+
+		/**
+		 * Those that may be free.
+		 */
+		ANY
+
+	}
+
+	/**
+	 * A region that may be used.
+	 *
+	 * @param region the name of the region
+	 * @param roundTripNanos the round-trip time to the region; while the first region has
+	 * backend servers that take work, a request waits for as long before it goes there
+	 */
+	record Candidate(String region, long roundTripNanos) {
+	}
+
+	/**
+	 * A chosen backend server.
+	 *
+	 * @param server the backend server
+	 * @param speculative whether the slot is perhaps in use, so that the attempt may be
+	 * shed
+	 */
+	record Choice(BackendServer server, boolean speculative) {
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -87,6 +87,9 @@
 		if (event instanceof RoutingTable table && this.current != null) {
 			this.current.keysChanged(table);
 		}
+		else if (event == CallerServer.CLOSE_IDLE && this.current == null && !this.closing) {
+			closeAfterFlush(context);
+		}
 	}
 
 	@Override
@@ -97,8 +100,7 @@
 	void completed(ChannelHandlerContext context, boolean keepAlive) {
 		this.current = null;
 		if (!keepAlive || !context.channel().isActive()) {
-			this.closing = true;
-			context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			closeAfterFlush(context);
 			return;
 		}
 		Object next = this.pipelined.pollFirst();
@@ -107,6 +109,11 @@
 		}
 	}
 
+	private void closeAfterFlush(ChannelHandlerContext context) {
+		this.closing = true;
+		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	private void pipeline(ChannelHandlerContext context, Object request) {
 		if (this.pipelined.size() < MAXIMUM_PIPELINED) {
 			this.pipelined.addLast(request);
@@ -134,7 +141,7 @@
 	}
 
 	private void lookUp(ChannelHandlerContext context, FullHttpRequest request) {
-		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		boolean keepAlive = HttpUtil.isKeepAlive(request) && !this.services.leaving().getAsBoolean();
 		request.release();
 		this.services.metrics().lookUp();
 		if (this.services.table().get() == null) {
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -30,6 +30,16 @@
 	 */
 	CONFIGURATION_REJECTED(2002, Severity.WARNING, "revision {} from {} was rejected: {}"),
 
+	/**
+	 * An entry host stopped serving keyed routes.
+	 */
+	KEYS_STALE(2003, Severity.WARNING, "keyed requests are refused: neither the store nor a majority is heard"),
+
+	/**
+	 * An entry host serves keyed routes again.
+	 */
+	KEYS_FRESH(2004, Severity.INFORMATION, "keyed requests are served"),
+
 	/**
 	 * The store stopped answering.
 	 */
@@ -65,6 +75,16 @@
 	 */
 	PEER_MALFORMED(4003, Severity.WARNING, "connection {} was closed: {}"),
 
+	/**
+	 * Shares of fleet-wide limits may be used from now on.
+	 */
+	SHARES_BEGUN(5001, Severity.INFORMATION, "the shares of entry hosts {} are used from now on"),
+
+	/**
+	 * Shares of fleet-wide limits may not be used any more.
+	 */
+	SHARES_LOST(5002, Severity.WARNING, "the shares of entry hosts {} are not used any more"),
+
 	/**
 	 * A duty failed on one command and went on.
 	 */
--- a/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
+++ b/masticlane/src/main/java/io/masticlane/membership/EntryHostDirectory.java
@@ -95,10 +95,12 @@
 			.stream()
 			.collect(Collectors.toMap(EntryHost::name, Function.identity()));
 		Comparator<HeardHost> order = Comparator.comparing(HeardHost::leaving)
-			.thenComparing((host) -> distance(table, region, table.region(configured.get(host.host()).dataCentre())))
+			.thenComparing((host) -> table.distance(region, table.region(configured.get(host.host()).dataCentre())))
 			.thenComparing(HeardHost::load)
 			.thenComparing(HeardHost::host);
+		boolean allLeaving = hosts.stream().allMatch(HeardHost::leaving);
 		String list = hosts.stream()
+			.filter((host) -> allLeaving || !host.leaving())
 			.sorted(order)
 			.map((host) -> entry(configured.get(host.host()), host, table))
 			.collect(Collectors.joining(","));
@@ -114,19 +116,6 @@
 				+ heard.leaving() + "}";
 	}
 
-	private static double distance(RoutingTable table, String from, String to) {
-		if (from.equals(to)) {
-			return 0;
-		}
-		return table.configuration()
-			.links()
-			.stream()
-			.filter((link) -> link.joins(from, to))
-			.mapToDouble((link) -> link.roundTripMillis())
-			.min()
-			.orElse(Double.MAX_VALUE);
-	}
-
 	/**
 	 * An entry host that is heard.
 	 *
