Wait for the cancelled request itself to run

The test failed once in a run of 45 tests ("after 60 s still not: the backend server sees the cancellation"). It was wrong: it waited for any running request, which the one before, past its deadline but still running at the stand-in, was. So the caller could go away before its request had been sent.

--- a/masticlane/src/test/java/io/masticlane/caller/WholeAnswersTests.java
+++ b/masticlane/src/test/java/io/masticlane/caller/WholeAnswersTests.java
@@ -94,8 +94,9 @@
 		assertEquals(answer.statusCode(), 504, answer.body());
 		Await.until("the backend server sees the deadline", () -> cancelled() == before + 1);
 		try (RawCaller caller = new RawCaller(this.fleet.callerAddress(0))) {
-			caller.write(request("/ledger/gone?answer=late"));
-			Await.until("the request runs", () -> running() > 0);
+			String operation = UUID.randomUUID().toString();
+			caller.write(request("/ledger/gone?answer=late").replace("Host: x", "Idempotency-Key: " + operation));
+			Await.until("the request runs", () -> this.fleet.runs(operation) == 1);
 		}
 		Await.until("the backend server sees the cancellation", () -> cancelled() == before + 2);
 		assertTrue(this.fleet.backendServers()
@@ -224,8 +225,4 @@
 		return this.fleet.backendServers().stream().mapToInt(BackendStandIn::cancelled).sum();
 	}
 
-	private int running() {
-		return this.fleet.backendServers().stream().mapToInt(BackendStandIn::running).sum();
-	}
-
 }
