--- a/masticlane/src/main/java/io/masticlane/operator/StatusDocument.java
+++ b/masticlane/src/main/java/io/masticlane/operator/StatusDocument.java
@@ -12,7 +12,7 @@
  * @param leaving whether it is shutting down
  * @param inFlight the requests in flight
  * @param storeAgeMillis the milliseconds since the store was heard
- * @param shares the limits of which a share is held
+ * @param shares the entry hosts whose shares of the limits this process may use
  * @param peers the other entry hosts that are heard
  */
 public record StatusDocument(String host, String incarnation, long revision, boolean ready, boolean leaving,
