Let a request wait for the tokens of other entry hosts before it is refused

Cause: a small organisation's burst is a few tokens at each entry host, and a host that runs empty refuses while others hold tokens; retries also counted as new demand in the waiting variant measured before. Ruled out: borrowing more rate (the loss stayed in bursts), asking two or three hosts at once (tokens are lost unused at the end of their loans), loans of 500 ms.

--- a/masticlane/src/main/java/io/masticlane/bench/MessageSlopes.java
+++ b/masticlane/src/main/java/io/masticlane/bench/MessageSlopes.java
@@ -18,7 +18,7 @@
 	private static final List<Message> MESSAGES = List.of(new Message.Greeting(1, "entry-2200", INCARNATION),
 			new Message.Heartbeat(100_000, 99_999, 14_000, 250, false, 120, 100_000, 300),
 			new Message.ConfigurationQuery(14_000),
-			new Message.LoanRequest(1, "organisation/org-1", 42, 0, 55.5, 14.5, 7.25, 2_000),
+			new Message.LoanRequest(1, "organisation/org-1", 42, 0, 55.5, 14.5, 7.25, 0, 2_000),
 			new Message.LoanGrant(7, "organisation/org-1", 14_000, 5, 5, 5, 2_000),
 			new Message.OperationClaim(7, "org-1", INCARNATION, -7_046_029_254_386_353_131L),
 			new Message.OperationVerdict(7, "GRANTED", INCARNATION),
--- a/masticlane/src/main/java/io/masticlane/limit/Borrowing.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Borrowing.java
@@ -1,11 +1,14 @@
 package io.masticlane.limit;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import io.masticlane.message.Message;
 
@@ -28,6 +31,14 @@
 
 	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+	private static final long TOKENS_TERM_MILLIS = 250;
+
+	private static final long TOKENS_REFUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final long TOKENS_WANTED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final double TOKENS_SECONDS = 0.05;
+
 	private static final double RATE_HEADROOM = 2;
 
 	private static final double LEAST_BURST = 2;
@@ -48,6 +59,12 @@
 
 	private final Map<String, Long> passedOverUntil = new HashMap<>();
 
+	private final Map<String, Long> withoutTokensUntil = new HashMap<>();
+
+	private final Set<Long> tokenLoans = new HashSet<>();
+
+	private long tokensWantedUntil;
+
 	private long revision;
 
 	private List<String> lenders = List.of();
@@ -65,9 +82,16 @@
 		this.asks.clear();
 	}
 
+	// Asks for the tokens that a waiting request lacks, one entry host after another.
+	void lacking(long now) {
+		this.tokensWantedUntil = now + TOKENS_WANTED_NANOS;
+		askForTokens(now);
+	}
+
 	void tick(long now) {
 		this.asks.values().removeIf((ask) -> now - ask.askedAt() > TERM_NANOS);
-		this.share.borrowed(now).stream().filter((loan) -> due(loan, now)).forEach((loan) -> renew(loan, now));
+		this.tokenLoans.retainAll(this.share.borrowed(now).stream().map(Loan::identifier).toList());
+		standing(now).filter((loan) -> due(loan, now)).forEach((loan) -> renew(loan, now));
 		if (needed(this.share.usable(now), now) && this.asks.values().stream().noneMatch((ask) -> open(ask, now))) {
 			nextLender(now).ifPresent((lender) -> ask(lender, 0, this.share.usable(now), now));
 		}
@@ -78,6 +102,10 @@
 		if (ask == null || grant.revision() != this.revision) {
 			return;
 		}
+		if (ask.tokens()) {
+			tokensHeard(ask, grant, now);
+			return;
+		}
 		Amount amount = new Amount(grant.rate(), grant.burst());
 		long termNanos = Math.min(TERM_NANOS, TimeUnit.MILLISECONDS.toNanos(grant.termMillis()));
 		long until = ask.askedAt() + termNanos;
@@ -94,6 +122,46 @@
 		return this.asks.values().stream().anyMatch((ask) -> now - ask.askedAt() < ANSWER_NANOS);
 	}
 
+	private void tokensHeard(Ask ask, Message.LoanGrant grant, long now) {
+		long until = ask.askedAt() + TimeUnit.MILLISECONDS.toNanos(TOKENS_TERM_MILLIS);
+		if (grant.tokens() <= 0) {
+			this.withoutTokensUntil.put(ask.lender(), now + TOKENS_REFUSED_NANOS);
+		}
+		else if (until - now > 0) {
+			this.tokenLoans.add(grant.loan());
+			this.share.borrow(new Loan(grant.loan(), ask.lender(), new Amount(0, grant.burst()), until), 0,
+					grant.tokens(), now);
+		}
+		if (this.share.level(now) < 1 && this.tokensWantedUntil - now > 0) {
+			askForTokens(now);
+		}
+	}
+
+	private void askForTokens(long now) {
+		boolean asked = this.asks.values()
+			.stream()
+			.anyMatch((ask) -> ask.tokens() && now - ask.askedAt() < ANSWER_NANOS);
+		if (asked) {
+			return;
+		}
+		this.lenders.stream()
+			.filter((host) -> available(host, now) && now - this.withoutTokensUntil.getOrDefault(host, now) >= 0)
+			.findFirst()
+			.ifPresent((lender) -> askForTokens(lender, now));
+	}
+
+	private void askForTokens(String lender, long now) {
+		long loan = this.identifiers.getAsLong();
+		double tokens = Math.max(1, this.share.demand(now) * TOKENS_SECONDS);
+		this.asks.put(loan, new Ask(lender, 0, now, true));
+		this.sender.send(lender, new Message.LoanRequest(loan, this.limit, this.revision, 0, this.share.demand(now), 0,
+				0, tokens, TOKENS_TERM_MILLIS));
+	}
+
+	private Stream<Loan> standing(long now) {
+		return this.share.borrowed(now).stream().filter((loan) -> !this.tokenLoans.contains(loan.identifier()));
+	}
+
 	private void renew(Loan loan, long now) {
 		Amount besides = this.share.usable(now).minus(loan.amount());
 		if (needed(besides, now)) {
@@ -109,7 +177,7 @@
 	}
 
 	private boolean open(Ask ask, long now) {
-		return ask.former() == 0 && now - ask.askedAt() < ANSWER_NANOS;
+		return ask.former() == 0 && !ask.tokens() && now - ask.askedAt() < ANSWER_NANOS;
 	}
 
 	private boolean needed(Amount amount, long now) {
@@ -120,7 +188,7 @@
 	}
 
 	private Optional<String> nextLender(long now) {
-		List<String> present = this.share.borrowed(now).stream().map(Loan::host).toList();
+		List<String> present = standing(now).map(Loan::host).toList();
 		return this.lenders.stream().filter((host) -> !present.contains(host) && available(host, now)).findFirst();
 	}
 
@@ -133,9 +201,9 @@
 		if (silent(lender, now)) {
 			this.passedOverUntil.put(lender, now + SILENT_NANOS);
 		}
-		this.asks.put(loan, new Ask(lender, former, now));
+		this.asks.put(loan, new Ask(lender, former, now, false));
 		this.sender.send(lender, new Message.LoanRequest(loan, this.limit, this.revision, former,
-				this.share.demand(now), besides.rate(), besides.burst(), TERM_MILLIS));
+				this.share.demand(now), besides.rate(), besides.burst(), 0, TERM_MILLIS));
 	}
 
 	private boolean silent(String lender, long now) {
@@ -144,7 +212,7 @@
 			.anyMatch((ask) -> ask.lender().equals(lender) && now - ask.askedAt() >= ANSWER_NANOS);
 	}
 
-	private record Ask(String lender, long former, long askedAt) {
+	private record Ask(String lender, long former, long askedAt, boolean tokens) {
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/limit/Lending.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Lending.java
@@ -21,6 +21,8 @@
 
 	private static final double ONE_REQUEST = 1.001;
 
+	private static final double LEAST_TOKENS = 0.2;
+
 	private static final double LEAST_DEMAND = 0.02;
 
 	private Lending() {
@@ -31,6 +33,9 @@
 		if (termMillis < SHORTEST_TERM_MILLIS || share.lent(host, request.loan(), now).isPresent()) {
 			return refusal(request);
 		}
+		if (request.tokens() > 0) {
+			return tokens(share, host, request, now);
+		}
 		Amount former = share.lent(host, request.former(), now).map(Loan::amount).orElse(Amount.ZERO);
 		Amount lendable = share.unlentBesides(host, request.former(), now).minus(floor(share.held(now)));
 		Amount offer = equal(share, request, former, now).atMost(lendable);
@@ -47,6 +52,19 @@
 		return new Message.LoanGrant(request.loan(), request.limit(), request.revision(), 0, 0, 0, 0);
 	}
 
+	private static Message.LoanGrant tokens(LimitShare share, String host, Message.LoanRequest request, long now) {
+		double burst = share.unlentBesides(host, request.former(), now).burst();
+		double spare = Math.min(share.level(now), burst);
+		double lent = Math.min(request.tokens(), Math.max(Math.min(1, spare), spare / 2));
+		if (lent < LEAST_TOKENS) {
+			return refusal(request);
+		}
+		long until = now + (long) (TimeUnit.MILLISECONDS.toNanos(request.termMillis()) * CLOCK_MARGIN);
+		share.lendTokens(new Loan(request.loan(), host, new Amount(0, lent), until), now);
+		return new Message.LoanGrant(request.loan(), request.limit(), request.revision(), 0, lent, lent,
+				request.termMillis());
+	}
+
 	private static Amount equal(LimitShare share, Message.LoanRequest request, Amount former, long now) {
 		Amount held = share.held(now);
 		double least = Math.max(LEAST_DEMAND * held.rate(), Double.MIN_NORMAL);
--- a/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
+++ b/masticlane/src/main/java/io/masticlane/limit/LimitShare.java
@@ -46,8 +46,13 @@
 	}
 
 	boolean take(double tokens, long now) {
-		advance(now);
 		this.demand.asked(tokens, now);
+		return takeDelayed(tokens, now);
+	}
+
+	// Takes tokens for a request that was counted as demand before.
+	boolean takeDelayed(double tokens, long now) {
+		advance(now);
 		return this.bucket.take(tokens, now);
 	}
 
@@ -119,6 +124,14 @@
 		return tokens;
 	}
 
+	// Lends tokens that are in the bucket, with the burst that they take up.
+	void lendTokens(Loan loan, long now) {
+		advance(now);
+		this.bucket.take(loan.amount().burst(), now);
+		this.lent.add(loan);
+		revise(now);
+	}
+
 	// Uses a loan in place of a former one.
 	void borrow(Loan loan, long former, double tokens, long now) {
 		advance(now);
--- a/masticlane/src/main/java/io/masticlane/limit/Limits.java
+++ b/masticlane/src/main/java/io/masticlane/limit/Limits.java
@@ -64,6 +64,18 @@
 	 */
 	boolean take(String limit, double tokens, long now);
 
+	/**
+	 * Takes tokens for a request that was counted as demand by an earlier call, if there
+	 * are enough.
+	 * @param limit the identifier of the limit
+	 * @param tokens the tokens to take
+	 * @param now the present on the monotonic clock in nanoseconds
+	 * @return whether the tokens were taken
+	 */
+	default boolean takeDelayed(String limit, double tokens, long now) {
+		return take(limit, tokens, now);
+	}
+
 	/**
 	 * Returns the time until tokens may be there, as far as this entry host knows.
 	 * @param limit the identifier of the limit
--- a/masticlane/src/main/java/io/masticlane/limit/ShareLedger.java
+++ b/masticlane/src/main/java/io/masticlane/limit/ShareLedger.java
@@ -97,6 +97,17 @@
 		boolean taken = account.share().take(tokens, now);
 		if (!taken) {
 			account.borrowing().tick(now);
+			account.borrowing().lacking(now);
+		}
+		return taken;
+	}
+
+	@Override
+	public boolean takeDelayed(String limit, double tokens, long now) {
+		Account account = this.accounts.get(limit);
+		boolean taken = account != null && account.share().takeDelayed(tokens, now);
+		if (account != null && !taken) {
+			account.borrowing().lacking(now);
 		}
 		return taken;
 	}
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -53,9 +53,9 @@
 				unpacker.skipValue(size - 3);
 				break;
 			case 5:
-				MessageFrame.checkSize(tag, size, 9);
+				MessageFrame.checkSize(tag, size, 10);
 				decoded = LoanRequest.decodeFields(unpacker);
-				unpacker.skipValue(size - 9);
+				unpacker.skipValue(size - 10);
 				break;
 			case 6:
 				MessageFrame.checkSize(tag, size, 8);
@@ -220,13 +220,15 @@
 	 * @param rate the rate that the sender has besides the former loan, in units per
 	 * second
 	 * @param burst the burst that the sender has besides the former loan, in units
+	 * @param tokens the tokens that the sender lacks at once; above zero, these alone are
+	 * asked for
 	 * @param termMillis the longest term of the loan in milliseconds
 	 */
 	record LoanRequest(long loan, String limit, long revision, long former, double demand, double rate, double burst,
-			long termMillis) implements Message {
+			double tokens, long termMillis) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(9);
+			packer.packArrayHeader(10);
 			packer.packInt(5);
 			packer.packLong(this.loan);
 			packer.packString(this.limit);
@@ -235,6 +237,7 @@
 			packer.packDouble(this.demand);
 			packer.packDouble(this.rate);
 			packer.packDouble(this.burst);
+			packer.packDouble(this.tokens);
 			packer.packLong(this.termMillis);
 		}
 
@@ -246,8 +249,9 @@
 			double demand = unpacker.unpackDouble();
 			double rate = unpacker.unpackDouble();
 			double burst = unpacker.unpackDouble();
+			double tokens = unpacker.unpackDouble();
 			long termMillis = unpacker.unpackLong();
-			return new LoanRequest(loan, limit, revision, former, demand, rate, burst, termMillis);
+			return new LoanRequest(loan, limit, revision, former, demand, rate, burst, tokens, termMillis);
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -30,6 +30,8 @@
 
 	private final RegionOrder regions;
 
+	private final AdmissionQueue admission;
+
 	private final Dispatcher dispatcher;
 
 	private int inFlight;
@@ -48,6 +50,8 @@
 		this.operations = operations;
 		this.balancer = balancer;
 		this.regions = regions;
+		this.admission = new AdmissionQueue(limits, this::admitted,
+				(flight) -> refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED)));
 		this.dispatcher = new Dispatcher(balancer, regions, this::refuse);
 	}
 
@@ -73,15 +77,7 @@
 		Flight flight = new Flight(arrival);
 		this.inFlight++;
 		this.arrivals++;
-		if (!admitted(arrival, now)) {
-			refuse(flight, Refusal.of(ErrorKind.RATE_EXCEEDED));
-		}
-		else if (arrival.idempotent()) {
-			this.dispatcher.dispatch(flight, now);
-		}
-		else {
-			this.operations.claim(arrival.operation(), now, (verdict, at) -> claimed(flight, verdict, at));
-		}
+		this.admission.arrive(flight, now);
 		return flight;
 	}
 
@@ -138,11 +134,12 @@
 	}
 
 	/**
-	 * Lets time pass: queued requests expire, and backed-off backend servers are used
-	 * again.
+	 * Lets time pass: requests that wait for tokens are admitted or refused, queued
+	 * requests expire, and backed-off backend servers are used again.
 	 * @param now the present in nanoseconds
 	 */
 	public void tick(long now) {
+		this.admission.tick(now);
 		this.dispatcher.tick(now);
 	}
 
@@ -170,9 +167,13 @@
 		return this.dispatcher.queued();
 	}
 
-	private boolean admitted(Arrival arrival, long now) {
-		return arrival.organisation().isEmpty()
-				|| this.limits.take(Limits.ofOrganisation(arrival.organisation()), 1, now);
+	private void admitted(Flight flight, long now) {
+		if (flight.arrival().idempotent()) {
+			this.dispatcher.dispatch(flight, now);
+		}
+		else {
+			this.operations.claim(flight.arrival().operation(), now, (verdict, at) -> claimed(flight, verdict, at));
+		}
 	}
 
 	private void claimed(Flight flight, Operations.Verdict verdict, long now) {
--- a/masticlane/src/test/java/io/masticlane/limit/ShareLedgerTests.java
+++ b/masticlane/src/test/java/io/masticlane/limit/ShareLedgerTests.java
@@ -82,12 +82,37 @@
 		assertEquals(ledger.rate(LIMIT, 0), 2 * RATE / HOSTS, 1e-9);
 	}
 
+	@Test
+	public void anEntryHostWithoutTokensIsLentTheTokensOfAnother() {
+		List<Message> asked = new ArrayList<>();
+		ShareLedger borrower = ledgerWithShare(60_000 * MILLI, "entry-0", asked);
+		List<Message> answered = new ArrayList<>();
+		ShareLedger lender = ledgerWithShare(60_000 * MILLI, "entry-2", answered);
+		assertTrue(!borrower.take(LIMIT, 1, 0));
+		Message.LoanRequest request = asked.stream()
+			.map(Message.LoanRequest.class::cast)
+			.filter((each) -> each.tokens() > 0)
+			.findFirst()
+			.orElseThrow();
+		lender.hear("entry-0", request, 100 * MILLI);
+		double lent = BURST / HOSTS - lender.burst(LIMIT, 100 * MILLI);
+		borrower.hear((Message.LoanGrant) answered.get(0), 100 * MILLI);
+		assertTrue(lent >= 1, "lent " + lent);
+		assertEquals(borrower.burst(LIMIT, 100 * MILLI), BURST / HOSTS + lent, 1e-9);
+		assertTrue(borrower.takeDelayed(LIMIT, 1, 100 * MILLI));
+		assertEquals(lender.burst(LIMIT, 400 * MILLI), BURST / HOSTS, 1e-9);
+		assertEquals(borrower.burst(LIMIT, 400 * MILLI), BURST / HOSTS, 1e-9);
+	}
+
 	private static ShareLedger ledgerWithShare(long until) {
-		ShareLedger ledger = new ShareLedger("entry-0", 7, (host, message) -> {
-		});
+		return ledgerWithShare(until, "entry-0", new ArrayList<>());
+	}
+
+	private static ShareLedger ledgerWithShare(long until, String host, List<Message> sent) {
+		ShareLedger ledger = new ShareLedger(host, 7, (receiver, message) -> sent.add(message));
 		ledger.configure(configuration(), 1, 0);
 		ledger.settle(1, 0);
-		ledger.hold(Set.of("entry-0"), until, 0);
+		ledger.hold(Set.of(host), until, 0);
 		return ledger;
 	}
 
--- a/masticlane/src/test/java/io/masticlane/share/WrongfulRefusals.java
+++ b/masticlane/src/test/java/io/masticlane/share/WrongfulRefusals.java
@@ -30,7 +30,7 @@
 
 	private static final long END = 120 * SECOND;
 
-	private static final int WAIT_STEPS = 10;
+	private static final int WAIT_STEPS = 15;
 
 	private static final double[] SKEW = { 0.40, 0.20, 0.15, 0.10, 0.08, 0.05, 0.02 };
 
@@ -83,6 +83,10 @@
 
 		boolean take(int host, int organisation, long now);
 
+		default boolean takeDelayed(int host, int organisation, long now) {
+			return take(host, organisation, now);
+		}
+
 	}
 
 	private static final class Run {
@@ -106,7 +110,7 @@
 			this.random = new Random(seed);
 			this.fleet = new SimulatedFleet(HOSTS, ORGANISATIONS, seed);
 			this.candidates = List.of(new Candidate("share ledger", this::ledger, 0),
-					new Candidate("share ledger, waiting up to 100 ms", new Run(this)::ledger, WAIT_STEPS),
+					new Candidate("share ledger, waiting up to 150 ms", waiting(new Run(this)), WAIT_STEPS),
 					new Candidate("equal static shares", equalShares(), 0),
 					new Candidate("one owner per organisation", owners(), 0));
 		}
@@ -125,6 +129,22 @@
 			return process.ledger().take(limit, 1, process.clock());
 		}
 
+		private static Admission waiting(Run run) {
+			return new Admission() {
+				@Override
+				public boolean take(int host, int organisation, long now) {
+					return run.ledger(host, organisation, now);
+				}
+
+				@Override
+				public boolean takeDelayed(int host, int organisation, long now) {
+					SimulatedFleet.Host process = run.fleet.host(host);
+					String limit = Limits.ofOrganisation(ORGANISATIONS.get(organisation).name());
+					return process.ledger().takeDelayed(limit, 1, process.clock());
+				}
+			};
+		}
+
 		private Admission equalShares() {
 			List<List<TokenBucket>> shares = IntStream.range(0, HOSTS).mapToObj((host) -> buckets(HOSTS)).toList();
 			return (host, organisation, now) -> shares.get(host).get(organisation).take(1, now);
@@ -240,14 +260,14 @@
 			if (request.counted() && request.organisation() == 0 && request.inside()) {
 				this.floodInside++;
 			}
-			if (!admitted(request, now)) {
+			if (!admitted(request, now, this.admission::take)) {
 				this.waiting.add(new Waiting(request, now + this.waitSteps * SimulatedFleet.STEP));
 			}
 		}
 
 		private void retry(long now) {
 			this.waiting.removeIf((each) -> {
-				boolean admitted = this.waitSteps > 0 && admitted(each.request(), now);
+				boolean admitted = this.waitSteps > 0 && admitted(each.request(), now, this.admission::takeDelayed);
 				boolean refused = !admitted && now >= each.until();
 				if (refused && each.request().inside() && each.request().counted()) {
 					refuse(each.request());
@@ -265,8 +285,8 @@
 			}
 		}
 
-		private boolean admitted(Request request, long now) {
-			boolean admitted = this.admission.take(request.host(), request.organisation(), now);
+		private boolean admitted(Request request, long now, Admission admission) {
+			boolean admitted = admission.take(request.host(), request.organisation(), now);
 			if (admitted && !this.whole.get(request.organisation()).take(1, now)) {
 				this.above++;
 			}
