Count an entry host as ready only with a share of the limits

Cause: a new process was ready before it held its share, with empty buckets, and refused 2 of the demo's first 200 requests with rate-exceeded, so that the demo failed after 213 passing tests. Ruled out: the wait for tokens of others (150 ms; a share comes after about 3 s). Change: ready needs a share, or 10 s after the start when the store gives none; the demo waits for that.

--- a/masticlane/src/main/java/io/masticlane/demo/Demonstration.java
+++ b/masticlane/src/main/java/io/masticlane/demo/Demonstration.java
@@ -45,7 +45,7 @@
 	public boolean run(int requests, PrintStream output) throws IOException, InterruptedException {
 		try (DemoDeployment deployment = new DemoDeployment()) {
 			String base = "http://" + deployment.entryHost().callerAddress();
-			awaitReady(base);
+			awaitReady("http://" + deployment.entryHost().operatorAddress());
 			output.print("look-up: " + get(base + "/v1/entry-hosts").body());
 			for (int number = 0; number < requests; number++) {
 				request(base, number);
@@ -91,9 +91,9 @@
 			.count();
 	}
 
-	private void awaitReady(String base) throws IOException, InterruptedException {
+	private void awaitReady(String operators) throws IOException, InterruptedException {
 		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
-		while (get(base + "/v1/entry-hosts").statusCode() != OK) {
+		while (get(operators + "/health/ready").statusCode() != OK) {
 			if (System.nanoTime() - deadline > 0) {
 				throw new IOException("the entry host is not ready after " + READY_MILLIS + " ms");
 			}
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -65,6 +65,8 @@
 
 	private static final long PLATFORM_TICK_MILLIS = 250;
 
+	private static final long SHARES_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	private static final long DECISIONS_TICK_MILLIS = 10;
 
 	private static final long DIRECTORY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -124,6 +126,8 @@
 
 	private volatile List<StatusDocument.PeerStatus> peerStatuses = List.of();
 
+	private final long startedAt = System.nanoTime();
+
 	private volatile boolean leaving;
 
 	private volatile boolean stopping;
@@ -183,8 +187,8 @@
 		this.peerChannel = this.network.listen(settings.peerAddress());
 		this.network.dial(settings.peers());
 		this.callerChannel = this.callers.listen(settings.callerAddress());
-		this.operators = new OperatorServer(settings.operatorAddress(), this.metrics,
-				() -> this.directory != null && !this.leaving, this::status, this::burn);
+		this.operators = new OperatorServer(settings.operatorAddress(), this.metrics, this::ready, this::status,
+				this::burn);
 		events.record(Event.ENTRY_STARTED, settings.host(), this.self.incarnation());
 	}
 
@@ -372,6 +376,12 @@
 		}
 	}
 
+	private boolean ready() {
+		boolean sharesExpected = System.nanoTime() - this.startedAt < SHARES_NANOS;
+		boolean tokens = !this.fleetLimits.held().isEmpty() || !sharesExpected;
+		return this.directory != null && !this.leaving && tokens;
+	}
+
 	private StatusDocument status() {
 		long now = System.nanoTime();
 		return new StatusDocument(this.self.host(), this.self.incarnation(), this.configuration.revision(),
--- a/masticlane/src/main/java/io/masticlane/operator/OperatorServer.java
+++ b/masticlane/src/main/java/io/masticlane/operator/OperatorServer.java
@@ -41,7 +41,7 @@
 		this.server.createContext("/health/live", (exchange) -> answer(exchange, OK, text("live\n")));
 		this.server.createContext("/health/ready", (exchange) -> {
 			boolean isReady = ready.get();
-			answer(exchange, isReady ? OK : UNAVAILABLE, text(isReady ? "ready\n" : "no configuration in force\n"));
+			answer(exchange, isReady ? OK : UNAVAILABLE, text(isReady ? "ready\n" : "not ready\n"));
 		});
 		this.server.createContext("/status",
 				(exchange) -> answer(exchange, OK, text(OperatorDocuments.print(status.get()))));
