--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -1,6 +1,7 @@
 package io.masticlane.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -81,6 +82,8 @@
 
 	private final String incarnation = UUID.randomUUID().toString().substring(0, 8);
 
+	private final List<Channel> listeners = new ArrayList<>();
+
 	private long leavingSince;
 
 	/**
@@ -108,7 +111,7 @@
 	 * Starts the daemon.
 	 */
 	public void start() {
-		listenForCallers(this.settings.callerAddress());
+		this.listeners.add(listenForCallers(this.settings.callerAddress()));
 		listenForService(this.settings.readinessAddress());
 		listenForService(this.settings.directoryAddress());
 		this.peers.listen(this.settings.peerAddress());
@@ -207,26 +210,32 @@
 		this.loop.schedule(this::end, GatewayTimes.LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Ends the daemon once no caller can lose a request: nothing new is accepted first,
+	 * then idle connections are closed, and those with a request under way follow when it
+	 * is answered.
+	 */
 	private void end() {
+		this.listeners.forEach(Channel::close);
 		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
 		long after = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.leavingSince);
 		double latest = this.settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1) - GatewayTimes.KILL_MARGIN_MILLIS;
-		if (this.traffic.inFlight() > 0 && after < latest) {
+		if (!this.callers.isEmpty() && after < latest) {
 			this.loop.schedule(this::end, GatewayTimes.TICK_MILLIS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		this.follower.stop();
 		this.registration.stop();
 		this.events.record(Event.GATEWAY_STOPPED, this.settings.host(), this.traffic.inFlight(), after);
-		this.loop.schedule(this.ended::countDown, GatewayTimes.TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.schedule(this.ended::countDown, GatewayTimes.LAST_WRITES_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void every(long millis, Runnable task) {
 		this.loop.scheduleWithFixedDelay(task, millis, millis, TimeUnit.MILLISECONDS);
 	}
 
-	private void listenForCallers(InetSocketAddress address) {
-		listen(address, new ChannelInitializer<>() {
+	private Channel listenForCallers(InetSocketAddress address) {
+		return listen(address, new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				CallerLimits limits = GatewayDaemon.this.traffic.plan().limits();
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -89,6 +89,11 @@
 	 */
 	static final long LINGER_MILLIS = 3_800;
 
+	/**
+	 * How long a process that is about to end leaves for its last calls to the store.
+	 */
+	static final long LAST_WRITES_MILLIS = 120;
+
 	private GatewayTimes() {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
@@ -47,7 +47,7 @@
 
 	private final DemandMeter demand = new DemandMeter(System.nanoTime());
 
-	private final TrafficSplits splits = new TrafficSplits();
+	private final WeightedRoundRobin splits = new WeightedRoundRobin();
 
 	private final Map<String, RetryAllowance> retries = new HashMap<>();
 
@@ -140,7 +140,7 @@
 		return this.demand;
 	}
 
-	TrafficSplits splits() {
+	WeightedRoundRobin splits() {
 		return this.splits;
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/TrafficSplits.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/WeightedRoundRobin.java
@@ -9,7 +9,7 @@
 /**
  * Divides the requests of each route among its services by smooth weighted round robin.
  */
-final class TrafficSplits {
+final class WeightedRoundRobin {
 
 	private final Map<String, Map<String, Double>> credits = new HashMap<>();
 
--- a/masticlane/src/main/java/io/masticlane/quota/RateShares.java
+++ b/masticlane/src/main/java/io/masticlane/quota/RateShares.java
@@ -17,24 +17,35 @@
 	 * The part of a rate that is divided by demand; the rest is divided evenly, so that a
 	 * first request finds tokens anywhere.
 	 */
-	private static final double BY_DEMAND = 0.9;
+	private static final double BY_DEMAND = 0.97;
 
 	/**
 	 * The part of an organisation's burst that is handed out, as reports lag.
 	 */
 	private static final double BURST_USED = 0.8;
 
+	/**
+	 * The requests besides rate and burst that all gateways together let through, so that
+	 * two requests at one gateway do not find the bucket of a small organisation empty.
+	 */
+	private static final double FLEET_SLACK = 14;
+
 	/**
 	 * The part of the burst in a new bucket, since a former process on this host may just
 	 * have used its own.
 	 */
 	private static final double INITIAL_FILL = 0.4;
 
+	/**
+	 * The share before the other gateways are known: small, since they may be many.
+	 */
+	private static final double UNDIVIDED_SHARE = 0.03;
+
 	private final Map<String, Bucket> buckets = new HashMap<>();
 
 	private Map<String, Double> shares = Map.of();
 
-	private double evenShare = 1;
+	private double evenShare = UNDIVIDED_SHARE;
 
 	/**
 	 * Takes a token for a request.
@@ -50,7 +61,7 @@
 		Bucket bucket = this.buckets.computeIfAbsent(organisation.name(), (name) -> new Bucket(now));
 		double share = this.shares.getOrDefault(organisation.name(), this.evenShare);
 		double rate = organisation.ratePerSecond() * share;
-		bucket.refill(rate, Math.max(1, organisation.burst() * BURST_USED * share), now);
+		bucket.refill(rate, Math.max(1, organisation.burst() * BURST_USED * share + FLEET_SLACK * this.evenShare), now);
 		if (bucket.tokens >= 1) {
 			bucket.tokens--;
 			return 0;
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/admission/AdmissionPolicyTests.java
@@ -0,0 +1,34 @@
+package io.masticlane.admission;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class AdmissionPolicyTests {
+
+	private final AdmissionPolicy policy = new AdmissionPolicy(() -> 0.5);
+
+	@Test
+	public void theMostUrgentMayUseAllTheTimeThatIsLeft() {
+		assertEquals(this.policy.latest(500, 3_000, 0), 3_000.0);
+	}
+
+	@Test
+	public void theLessUrgentAreRefusedEarlierUnderTheSameLoad() {
+		assertTrue(this.policy.latest(500, 3_000, 2) < this.policy.latest(500, 3_000, 1));
+		assertTrue(this.policy.latest(500, 3_000, 2) > 500);
+	}
+
+	@Test
+	public void noTimeBeyondTheCallersOwnIsUsed() {
+		assertEquals(this.policy.latest(500, 400, 1), 400.0);
+	}
+
+	@Test
+	public void returnsAreSpreadAndBounded() {
+		assertTrue(this.policy.returnAfter(0) >= 150);
+		assertTrue(this.policy.returnAfter(1e9) <= 3_000);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -0,0 +1,134 @@
+package io.masticlane.placement;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.masticlane.plan.PathRoute;
+import io.masticlane.registry.RegisteredServer;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class PlacementTests {
+
+	private static final long LATER = TimeUnit.SECONDS.toNanos(60);
+
+	private final PathRoute route = new PathRoute("r", "/r/", true, 1_200, 600, 0,
+			List.of(new PathRoute.WeightedService("s", 1)), 2, true, true, Set.of());
+
+	@Test
+	public void everyGatewayOfARegionChoosesTheSameServerForAnObject() {
+		Placement one = placement("west", 6, 6);
+		Placement other = placement("west", 6, 6);
+		IntStream.range(0, 200)
+			.forEach((object) -> assertEquals(chosen(one, object, Set.of()), chosen(other, object, Set.of())));
+	}
+
+	@Test
+	public void aDepartureMovesTheObjectsOfTheServerAlone() {
+		Placement placement = placement("west", 6, 0);
+		Map<Integer, String> before = new HashMap<>();
+		IntStream.range(0, 200).forEach((object) -> before.put(object, chosen(placement, object, Set.of())));
+		placement.remove("s", "west-0");
+		IntStream.range(0, 200)
+			.filter((object) -> !before.get(object).equals("west-0"))
+			.forEach((object) -> assertEquals(chosen(placement, object, Set.of()), before.get(object)));
+	}
+
+	@Test
+	public void aRegionWithFewServersGivesAwayTheObjectsThatItCannotHold() {
+		Placement placement = placement("north", 12, 2);
+		long local = IntStream.range(0, 1_000)
+			.filter((object) -> chosen(placement, object, Set.of()).startsWith("north"))
+			.count();
+		assertTrue(local > 200 && local < 600, "served by the region itself: " + local);
+	}
+
+	@Test
+	public void homesBindEvenWhereTheyHaveNoServer() {
+		Placement placement = placement("west", 4, 4);
+		assertTrue(chosen(placement, 1, Set.of("north")).startsWith("north"));
+		assertTrue(placement.choose(request(1, Set.of("elsewhere"), Set.of()), LATER).isEmpty());
+	}
+
+	@Test
+	public void leavingAndEvacuatedServersGetNothing() {
+		Placement placement = placement("west", 2, 0);
+		placement.server("s", "west-0").orElseThrow().entry(server("west-0", "west", true, 0), LATER);
+		IntStream.range(0, 50).forEach((object) -> assertEquals(chosen(placement, object, Set.of()), "west-1"));
+		placement.evacuated(Set.of("west"));
+		assertTrue(placement.choose(request(1, Set.of(), Set.of()), LATER).isEmpty());
+	}
+
+	@Test
+	public void aColdServerIsLeftOutWhileOthersServe() {
+		Placement placement = placement("west", 2, 0);
+		placement.server("s", "west-0").orElseThrow().coldFor(3_000, LATER);
+		IntStream.range(0, 50).forEach((object) -> assertEquals(chosen(placement, object, Set.of()), "west-1"));
+	}
+
+	@Test
+	public void coldServersThatAreAllThereIsGetNoMoreThanTheyBear() {
+		Placement placement = placement("west", 1, 0);
+		placement.server("s", "west-0").orElseThrow().coldFor(3_000, LATER);
+		int sent = 0;
+		for (int object = 0; object < 100; object++) {
+			Optional<Placement.Choice> choice = placement.choose(request(object, Set.of(), Set.of()), LATER);
+			if (choice.isPresent()) {
+				choice.get().server().sent(LATER);
+				sent++;
+			}
+		}
+		assertTrue(sent > 0 && sent * 2 <= 8.1 * 1.5 + 5, "sent by one of two gateways: " + sent);
+	}
+
+	@Test
+	public void aFullServerSharesItsObjectsWithTheNextRank() {
+		Placement placement = placement("west", 3, 0);
+		ServerState first = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow().server();
+		IntStream.range(0, 30).forEach((request) -> first.sent(LATER));
+		Placement.Choice next = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow();
+		assertFalse(next.server().entry().id().equals(first.entry().id()));
+	}
+
+	@Test
+	public void aShortQueueAtTheWarmServerIsBetterThanAServerThatDoesNotKnowTheObject() {
+		Placement placement = placement("west", 3, 0);
+		ServerState first = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow().server();
+		IntStream.range(0, 10).forEach((request) -> first.sent(LATER));
+		assertEquals(chosen(placement, 5, Set.of()), first.entry().id());
+	}
+
+	private Placement placement(String region, int west, int north) {
+		Placement placement = new Placement(region, 1.5, 5);
+		IntStream.range(0, west)
+			.forEach((each) -> placement.add(new ServerState(server("west-" + each, "west", false, 0), "west", 0)));
+		IntStream.range(0, north)
+			.forEach((each) -> placement.add(new ServerState(server("north-" + each, "north", false, 0), "north", 0)));
+		placement.update(LATER);
+		return placement;
+	}
+
+	private String chosen(Placement placement, int object, Set<String> homes) {
+		return placement.choose(request(object, homes, Set.of()), LATER).orElseThrow().server().entry().id();
+	}
+
+	private Placement.Request request(int object, Set<String> homes, Set<String> excluded) {
+		return new Placement.Request(this.route, "s", Rendezvous.hash("object-" + object), homes, excluded, 600, 8.1,
+				2);
+	}
+
+	private static RegisteredServer server(String id, String dataCentre, boolean leaving, long coldMillis) {
+		return new RegisteredServer(id, "s", InetSocketAddress.createUnresolved("10.0.0.1", 80), dataCentre, 9, leaving,
+				coldMillis, 1, 1);
+	}
+
+}
