--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -143,6 +143,14 @@
 		this.events.close();
 	}
 
+	/**
+	 * Ends the daemon at once, as a lost process does.
+	 */
+	public void kill() {
+		this.loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+		this.events.close();
+	}
+
 	@Override
 	public Optional<byte[]> lookUp(Dialect.LookUp lookUp) {
 		String region = regions(this.settings.regions()).getOrDefault(lookUp.dataCentre(), lookUp.region());
