Count organisations' requests fleet-wide, queue only until the objective, prefer the first rank

Gateways now report counts, every one keeps the level of the whole fleet's bucket, may go into debt when reports lag, and while the bucket is more than half full uses more than its part.

Requests that must queue now do so until their objective alone, and a further rank costs half of what an unknown object does.

--- a/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
+++ b/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
@@ -10,10 +10,11 @@
 public final class AdmissionPolicy {
 
 	/**
-	 * The part of the time between objective and limit that a request of each priority
-	 * may use; the last one holds for all lower ranks.
+	 * The part of the objective that a request of each priority may use where it has to
+	 * queue; the last one holds for all lower ranks. An answer behind the objective is
+	 * worth a fraction, costs the same slot, and makes those behind it late as well.
 	 */
-	private static final double[] LATENESS_BY_PRIORITY = { 1.0, 0.7, 0.4 };
+	private static final double[] QUEUED_PART_BY_PRIORITY = { 1.0, 0.9, 0.8 };
 
 	/**
 	 * The shortest and longest delay before a refused request returns, in milliseconds;
@@ -34,19 +35,16 @@
 	}
 
 	/**
-	 * Returns the latest time at which an answer is still worth a slot.
-	 * @param objectiveMillis the time within which an answer has its full value, from the
-	 * arrival
+	 * Returns the latest time at which the answer to a request that has to queue is worth
+	 * its slot.
+	 * @param objectiveMillis the time within which an answer has its full value, from now
 	 * @param limitMillis the time that is left
 	 * @param priority the rank of the request
 	 * @return the time in milliseconds from now
 	 */
 	public double latest(double objectiveMillis, double limitMillis, int priority) {
-		int rank = Math.max(0, Math.min(LATENESS_BY_PRIORITY.length - 1, priority));
-		if (limitMillis <= objectiveMillis) {
-			return limitMillis;
-		}
-		return objectiveMillis + (limitMillis - objectiveMillis) * LATENESS_BY_PRIORITY[rank];
+		int rank = Math.max(0, Math.min(QUEUED_PART_BY_PRIORITY.length - 1, priority));
+		return Math.min(limitMillis, objectiveMillis * QUEUED_PART_BY_PRIORITY[rank]);
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -100,16 +100,12 @@
 	}
 
 	/**
-	 * Returns the fresh reports of the others.
+	 * Returns the number of other gateways with a fresh report.
 	 * @param now the present in nanoseconds
-	 * @return the reports
+	 * @return the number of gateways
 	 */
-	public List<Message.GatewayReport> freshReports(long now) {
-		return this.reports.values()
-			.stream()
-			.filter((report) -> now - report.at() < REPORT_NANOS)
-			.map(Report::report)
-			.toList();
+	public int freshReports(long now) {
+		return (int) this.reports.values().stream().filter((report) -> now - report.at() < REPORT_NANOS).count();
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -182,8 +182,7 @@
 
 	private void admit() {
 		if (this.organisation.isPresent()) {
-			this.traffic.demand(this.organisation.get());
-			long wait = this.traffic.shares().take(this.organisation.get(), this.arrivedAt);
+			long wait = this.traffic.shares().take(this.organisation.get().name());
 			if (wait > 0) {
 				refuse("rate", HttpResponseStatus.TOO_MANY_REQUESTS, 0, 0, Math.max(wait, SOON_MILLIS));
 				return;
@@ -421,7 +420,7 @@
 					this.organisation.map(OrganisationPlan::name).orElse(NO_ROUTE), age(), Math.round(expected),
 					Math.round(latest), Math.round(returnMillis), this.plan.version());
 		if (this.tokenTaken) {
-			this.traffic.shares().giveBack(this.organisation.orElseThrow());
+			this.traffic.shares().giveBack(this.organisation.orElseThrow().name());
 		}
 		finish(reason);
 		this.caller.answer(status, "not run: " + reason,
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -188,7 +188,6 @@
 		long now = System.nanoTime();
 		this.beliefs.expire(now);
 		this.traffic.placement().update(now);
-		this.peers.divide(now);
 	}
 
 	private void sweep() {
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.event.Event;
@@ -24,6 +23,11 @@
  */
 final class PeerReports implements PeerListener {
 
+	/**
+	 * One of so many reports carries all counts, for gateways that joined since.
+	 */
+	private static final int WHOLE_REPORTS = 10;
+
 	private final Traffic traffic;
 
 	private final GatewayFleet fleet;
@@ -44,7 +48,7 @@
 
 	private long adoptedPosition = -1;
 
-	private Map<String, Double> demand = Map.of();
+	private int reports;
 
 	PeerReports(EventLoopGroup loops, Traffic traffic, GatewayFleet fleet, GatewayBeliefs beliefs, StoreFollower store,
 			Peer self) {
@@ -74,23 +78,16 @@
 	}
 
 	/**
-	 * Divides rates by the reports that are fresh.
-	 * @param now the present in nanoseconds
-	 */
-	void divide(long now) {
-		this.demand = this.traffic.meter().update(now);
-		this.traffic.shares()
-			.divide(this.demand, this.fleet.freshReports(now).stream().map(Message.GatewayReport::demand).toList(),
-					this.fleet.size());
-	}
-
-	/**
-	 * Sends a report to every gateway.
+	 * Divides rates by the reports that were heard, and sends a report to every gateway.
 	 * @param ready whether this gateway takes callers
 	 */
 	void report(boolean ready) {
+		long now = System.nanoTime();
+		this.traffic.shares().divide(this.fleet.size(), this.fleet.freshReports(now) + 1, now);
+		boolean all = this.reports++ % WHOLE_REPORTS == 0;
 		Message.GatewayReport report = new Message.GatewayReport(this.traffic.plan().version(), this.store.position(),
-				String.join(",", this.beliefs.evacuated()), this.traffic.leaving(), ready, this.demand);
+				String.join(",", this.beliefs.evacuated()), this.traffic.leaving(), ready,
+				this.traffic.shares().admitted(all), this.traffic.shares().refused());
 		this.network.sendOnEveryConnection((peer) -> report);
 	}
 
@@ -121,6 +118,7 @@
 	private void reported(Peer peer, Message.GatewayReport report) {
 		long now = System.nanoTime();
 		this.fleet.heard(peer.host(), report, now);
+		this.traffic.shares().heard(peer.host(), peer.incarnation(), report.admitted(), report.refused());
 		if (report.planVersion() <= this.traffic.plan().version()) {
 			this.behind = false;
 		}
--- a/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
@@ -10,9 +10,7 @@
 import io.masticlane.event.EventLog;
 import io.masticlane.fleet.GatewayFleet;
 import io.masticlane.placement.Placement;
-import io.masticlane.plan.OrganisationPlan;
 import io.masticlane.plan.TrafficPlan;
-import io.masticlane.quota.DemandMeter;
 import io.masticlane.quota.RateShares;
 import io.masticlane.setting.GatewaySettings;
 import io.netty.channel.EventLoop;
@@ -45,8 +43,6 @@
 
 	private final RateShares shares = new RateShares();
 
-	private final DemandMeter demand = new DemandMeter(System.nanoTime());
-
 	private final WeightedRoundRobin splits = new WeightedRoundRobin();
 
 	private final Map<String, RetryAllowance> retries = new HashMap<>();
@@ -73,6 +69,7 @@
 
 	void plan(TrafficPlan newer) {
 		this.plan = newer;
+		this.shares.organisations(newer.organisations().values());
 		this.metrics.plan(newer.version());
 	}
 
@@ -80,10 +77,6 @@
 		this.leaving = true;
 	}
 
-	void demand(OrganisationPlan organisation) {
-		this.demand.count(organisation.name());
-	}
-
 	RetryAllowance retries(String service) {
 		RetryAllowance allowance = this.retries.computeIfAbsent(service,
 				(name) -> new RetryAllowance(this.settings.retryRatio()));
@@ -136,10 +129,6 @@
 		return this.shares;
 	}
 
-	DemandMeter meter() {
-		return this.demand;
-	}
-
 	WeightedRoundRobin splits() {
 		return this.splits;
 	}
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -94,9 +94,9 @@
 				unpacker.skipValue(size - 2);
 				break;
 			case 13:
-				MessageFrame.checkSize(tag, size, 7);
+				MessageFrame.checkSize(tag, size, 8);
 				decoded = GatewayReport.decodeFields(unpacker);
-				unpacker.skipValue(size - 7);
+				unpacker.skipValue(size - 8);
 				break;
 			default:
 				throw new MalformedMessageException("unknown message tag " + tag);
@@ -450,21 +450,24 @@
 	 * @param evacuated the evacuated data centres, separated by commas
 	 * @param leaving whether the sender takes no new callers
 	 * @param ready whether the sender serves callers
-	 * @param demand the requests a second that callers of each organisation send to the
-	 * sender
+	 * @param admitted the requests of organisations that the sender let through since its
+	 * start, where they changed lately
+	 * @param refused the requests of organisations that the sender refused for their rate
+	 * since its start, where they changed lately
 	 */
 	record GatewayReport(long planVersion, long storePosition, String evacuated, boolean leaving, boolean ready,
-			Map<String, Double> demand) implements Message {
+			Map<String, Long> admitted, Map<String, Long> refused) implements Message {
 		@Override
 		public void encode(MessagePacker packer) throws IOException {
-			packer.packArrayHeader(7);
+			packer.packArrayHeader(8);
 			packer.packInt(13);
 			packer.packLong(this.planVersion);
 			packer.packLong(this.storePosition);
 			packer.packString(this.evacuated);
 			packer.packBoolean(this.leaving);
 			packer.packBoolean(this.ready);
-			MessageFrame.packDemand(packer, this.demand);
+			MessageFrame.packCounts(packer, this.admitted);
+			MessageFrame.packCounts(packer, this.refused);
 		}
 
 		private static GatewayReport decodeFields(MessageUnpacker unpacker) throws IOException {
@@ -473,8 +476,9 @@
 			String evacuated = unpacker.unpackString();
 			boolean leaving = unpacker.unpackBoolean();
 			boolean ready = unpacker.unpackBoolean();
-			Map<String, Double> demand = MessageFrame.readDemand(unpacker);
-			return new GatewayReport(planVersion, storePosition, evacuated, leaving, ready, demand);
+			Map<String, Long> admitted = MessageFrame.readCounts(unpacker);
+			Map<String, Long> refused = MessageFrame.readCounts(unpacker);
+			return new GatewayReport(planVersion, storePosition, evacuated, leaving, ready, admitted, refused);
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/message/MessageFrame.java
+++ b/masticlane/src/main/java/io/masticlane/message/MessageFrame.java
@@ -74,21 +74,21 @@
 		return unpacker.readPayload(length);
 	}
 
-	static void packDemand(MessagePacker packer, Map<String, Double> demand) throws IOException {
-		packer.packMapHeader(demand.size());
-		for (Map.Entry<String, Double> each : demand.entrySet()) {
+	static void packCounts(MessagePacker packer, Map<String, Long> counts) throws IOException {
+		packer.packMapHeader(counts.size());
+		for (Map.Entry<String, Long> each : counts.entrySet()) {
 			packer.packString(each.getKey());
-			packer.packDouble(each.getValue());
+			packer.packLong(each.getValue());
 		}
 	}
 
-	static Map<String, Double> readDemand(MessageUnpacker unpacker) throws IOException {
+	static Map<String, Long> readCounts(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackMapHeader();
-		Map<String, Double> demand = new HashMap<>();
+		Map<String, Long> counts = new HashMap<>();
 		for (int index = 0; index < size; index++) {
-			demand.put(unpacker.unpackString(), unpacker.unpackDouble());
+			counts.put(unpacker.unpackString(), unpacker.unpackLong());
 		}
-		return demand;
+		return counts;
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -30,7 +30,13 @@
 	/**
 	 * How long an object is believed to stay warm.
 	 */
-	private static final long WARM_NANOS = TimeUnit.SECONDS.toNanos(30);
+	private static final long WARM_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	/**
+	 * What each further rank costs besides, as a part of what an unknown object does: a
+	 * server keeps few objects, and one that is spread pushes out others.
+	 */
+	private static final double RANK_COST = 0.5;
 
 	/**
 	 * How long after its first sight a server counts as knowing no object.
@@ -243,7 +249,7 @@
 			.toList();
 		List<Choice> choices = new ArrayList<>();
 		for (ServerState server : ranked(request, candidates)) {
-			choices.add(new Choice(server, expected(request, server, choices.isEmpty(), now),
+			choices.add(new Choice(server, expected(request, server, choices.size(), now),
 					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now)));
 			if (choices.size() == RANKS) {
 				break;
@@ -262,13 +268,15 @@
 			.toList();
 	}
 
-	private double expected(Request request, ServerState server, boolean first, long now) {
+	private double expected(Request request, ServerState server, int rank, long now) {
 		ServiceTimes measured = times(request.route());
-		boolean warm = server.served(request.object(), WARM_NANOS, now) || first && server.known(now) > NEW_NANOS;
+		boolean warm = server.served(request.object(), WARM_NANOS, now) || rank == 0 && server.known(now) > NEW_NANOS;
 		int slots = Math.max(1, server.entry().slots());
 		double queued = Math.max(0, server.load(now) + 1 - slots);
 		double wait = queued * measured.expected(true) / slots;
-		return wait + measured.expected(warm || !request.route().sticky())
+		double spread = request.route().sticky()
+				? rank * RANK_COST * (measured.expected(false) - measured.expected(true)) : 0;
+		return wait + spread + measured.expected(warm || !request.route().sticky())
 				+ (server.region().equals(this.region) ? 0 : FAR_MILLIS);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/quota/RateShares.java
+++ b/masticlane/src/main/java/io/masticlane/quota/RateShares.java
@@ -1,5 +1,6 @@
 package io.masticlane.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -7,133 +8,266 @@
 import io.masticlane.plan.OrganisationPlan;
 
 /**
- * This gateway's share of each organisation's rate. The rate is divided by demand among
- * the gateways whose reports are fresh; a gateway that is not heard keeps an even share
- * reserved, which is also what it uses itself while it hears nobody.
+ * This gateway's view of each organisation's bucket of tokens, which the whole fleet
+ * draws on. Every gateway counts what itself and the others let through, and may use its
+ * part of the level until the next reports. The level goes below zero when reports lag
+ * behind a flood, so that what was let through too much is paid back at once. A gateway
+ * that is not heard is taken to use an even share.
  */
 public final class RateShares {
 
 	/**
-	 * The part of a rate that is divided by demand; the rest is divided evenly, so that a
-	 * first request finds tokens anywhere.
+	 * The part of the level that is divided by demand; the rest is divided evenly.
 	 */
-	private static final double BY_DEMAND = 0.97;
+	private static final double BY_DEMAND = 0.9;
 
 	/**
-	 * The part of an organisation's burst that is handed out, as reports lag.
+	 * The parts of rate and burst, and the tokens besides, that a full bucket holds. They
+	 * stay inside the tolerance of a tenth and twenty requests in five seconds.
 	 */
-	private static final double BURST_USED = 0.8;
+	private static final double LEVEL_RATE_SECONDS = 0.1;
+
+	private static final double LEVEL_SLACK = 8;
 
 	/**
-	 * The requests besides rate and burst that all gateways together let through, so that
-	 * two requests at one gateway do not find the bucket of a small organisation empty.
+	 * The parts of rate and burst, and the tokens besides, that all gateways together may
+	 * use between two reports while the bucket is more than half full.
 	 */
-	private static final double FLEET_SLACK = 14;
+	private static final double CALM_RATE_SECONDS = 1;
+
+	private static final double CALM_BURST = 0.8;
+
+	private static final double CALM_SLACK = 12;
+
+	private static final double CALM_LEVEL = 0.5;
 
 	/**
-	 * The part of the burst in a new bucket, since a former process on this host may just
-	 * have used its own.
+	 * The level of a bucket when this process starts, since a former process may just
+	 * have used it.
 	 */
-	private static final double INITIAL_FILL = 0.4;
+	private static final double INITIAL_LEVEL = 0.3;
 
 	/**
-	 * The share before the other gateways are known: small, since they may be many.
+	 * The time in which an old demand loses most of its weight.
 	 */
-	private static final double UNDIVIDED_SHARE = 0.03;
+	private static final double SMOOTHING_SECONDS = 1.5;
 
-	private final Map<String, Bucket> buckets = new HashMap<>();
+	private final Map<String, Account> accounts = new HashMap<>();
 
-	private Map<String, Double> shares = Map.of();
+	private final Map<String, Heard> heard = new HashMap<>();
 
-	private double evenShare = UNDIVIDED_SHARE;
+	private int members = 1;
+
+	/**
+	 * Takes the organisations of a plan.
+	 * @param organisations the organisations
+	 */
+	public void organisations(Collection<OrganisationPlan> organisations) {
+		organisations
+			.forEach((each) -> this.accounts.computeIfAbsent(each.name(), (name) -> new Account(each)).plan(each));
+	}
 
 	/**
 	 * Takes a token for a request.
-	 * @param organisation the organisation
-	 * @param now the present in nanoseconds
-	 * @return zero if the request is inside the share, or the milliseconds until the next
-	 * token
+	 * @param organisation the name of the organisation
+	 * @return zero if the request is inside the rate, or the milliseconds after which a
+	 * token is likely
 	 */
-	public long take(OrganisationPlan organisation, long now) {
-		if (organisation.ratePerSecond() <= 0) {
-			return 0;
-		}
-		Bucket bucket = this.buckets.computeIfAbsent(organisation.name(), (name) -> new Bucket(now));
-		double share = this.shares.getOrDefault(organisation.name(), this.evenShare);
-		double rate = organisation.ratePerSecond() * share;
-		bucket.refill(rate, Math.max(1, organisation.burst() * BURST_USED * share + FLEET_SLACK * this.evenShare), now);
-		if (bucket.tokens >= 1) {
-			bucket.tokens--;
-			return 0;
-		}
-		return (long) Math.ceil((1 - bucket.tokens) / Math.max(rate, 1e-3) * TimeUnit.SECONDS.toMillis(1));
+	public long take(String organisation) {
+		Account account = this.accounts.get(organisation);
+		return (account != null) ? account.take() : 0;
 	}
 
 	/**
 	 * Gives back the token of a request that was not run.
-	 * @param organisation the organisation
+	 * @param organisation the name of the organisation
 	 */
-	public void giveBack(OrganisationPlan organisation) {
-		Bucket bucket = this.buckets.get(organisation.name());
-		if (bucket != null) {
-			bucket.tokens++;
+	public void giveBack(String organisation) {
+		Account account = this.accounts.get(organisation);
+		if (account != null) {
+			account.giveBack();
 		}
 	}
 
 	/**
-	 * Divides the rates anew.
-	 * @param own the demand at this gateway, by organisation
-	 * @param others the demand at each gateway with a fresh report
-	 * @param members the gateways that are believed to live, this one included
+	 * Takes the counts of another gateway.
+	 * @param host the name of its entry host
+	 * @param incarnation the identifier of its process
+	 * @param admitted the requests that it let through since its start, by organisation
+	 * @param refused the requests that it refused since its start, by organisation
 	 */
-	public void divide(Map<String, Double> own, Iterable<Map<String, Double>> others, int members) {
-		Map<String, Double> total = new HashMap<>(own);
-		int heard = 1;
-		for (Map<String, Double> each : others) {
-			heard++;
-			each.forEach((organisation, rate) -> total.merge(organisation, rate, Double::sum));
-		}
-		int known = Math.max(members, heard);
-		double available = heard / (double) known;
-		this.evenShare = 1.0 / known;
-		int divisors = heard;
-		Map<String, Double> divided = new HashMap<>();
-		total.forEach((organisation, sum) -> {
-			double byDemand = own.getOrDefault(organisation, 0.0) / Math.max(sum, 1e-9);
-			divided.put(organisation, available * (BY_DEMAND * byDemand + (1 - BY_DEMAND) / divisors));
+	public void heard(String host, String incarnation, Map<String, Long> admitted, Map<String, Long> refused) {
+		Heard former = this.heard.get(host);
+		boolean restarted = former != null && !former.incarnation().equals(incarnation);
+		Heard present = (former != null && !restarted) ? former
+				: new Heard(incarnation, new HashMap<>(), new HashMap<>());
+		this.heard.put(host, present);
+		admitted.forEach((organisation, count) -> {
+			Long before = present.admitted().put(organisation, count);
+			long used = count - ((before != null) ? before : restarted ? 0 : count);
+			Account account = this.accounts.get(organisation);
+			if (account != null) {
+				account.level -= used;
+				account.askedElsewhere += Math.max(0, used);
+			}
+		});
+		refused.forEach((organisation, count) -> {
+			Long before = present.refused().put(organisation, count);
+			Account account = this.accounts.get(organisation);
+			if (account != null && before != null) {
+				account.askedElsewhere += Math.max(0, count - before);
+			}
+		});
+	}
+
+	/**
+	 * Divides the levels for the time until the next reports.
+	 * @param gateways the gateways that are believed to live, this one included
+	 * @param fresh the gateways with a fresh report, this one included
+	 * @param now the present in nanoseconds
+	 */
+	public void divide(int gateways, int fresh, long now) {
+		this.members = Math.max(1, Math.max(gateways, fresh));
+		double silentPart = (this.members - Math.max(1, fresh)) / (double) this.members;
+		this.accounts.values().forEach((account) -> account.divide(silentPart, this.members, now));
+	}
+
+	/**
+	 * Returns the requests that this gateway let through since its start, where they
+	 * changed since the last call or all of them are asked for.
+	 * @param all whether all are asked for
+	 * @return the requests by organisation
+	 */
+	public Map<String, Long> admitted(boolean all) {
+		Map<String, Long> counts = new HashMap<>();
+		this.accounts.forEach((name, account) -> {
+			if (all || account.admitted != account.admittedTold) {
+				account.admittedTold = account.admitted;
+				counts.put(name, account.admitted);
+			}
+		});
+		return counts;
+	}
+
+	/**
+	 * Returns the requests that this gateway refused since its start, where they changed
+	 * since the last call.
+	 * @return the requests by organisation
+	 */
+	public Map<String, Long> refused() {
+		Map<String, Long> counts = new HashMap<>();
+		this.accounts.forEach((name, account) -> {
+			if (account.refused != account.refusedTold) {
+				account.refusedTold = account.refused;
+				counts.put(name, account.refused);
+			}
 		});
-		this.shares = divided;
+		return counts;
 	}
 
 	/**
-	 * Returns this gateway's share of an organisation's rate.
+	 * Returns the level of an organisation's bucket as this gateway sees it.
 	 * @param organisation the name of the organisation
-	 * @return the share from 0 to 1
+	 * @return the level in tokens
 	 */
-	public double share(String organisation) {
-		return this.shares.getOrDefault(organisation, this.evenShare);
+	public double level(String organisation) {
+		Account account = this.accounts.get(organisation);
+		return (account != null) ? account.level : 0;
+	}
+
+	private record Heard(String incarnation, Map<String, Long> admitted, Map<String, Long> refused) {
 	}
 
-	private static final class Bucket {
+	private static final class Account {
+
+		private OrganisationPlan plan;
+
+		private double level;
+
+		private double grant;
+
+		private double demand;
+
+		private double demandElsewhere;
+
+		private long asked;
+
+		private long askedElsewhere;
+
+		private long admitted;
 
-		private double tokens;
+		private long admittedTold;
 
-		private long refilledAt;
+		private long refused;
 
-		private boolean used;
+		private long refusedTold;
 
-		private Bucket(long now) {
-			this.refilledAt = now;
+		private long dividedAt;
+
+		private boolean divided;
+
+		private Account(OrganisationPlan plan) {
+			this.plan = plan;
+			this.level = largestLevel() * INITIAL_LEVEL;
+		}
+
+		private void plan(OrganisationPlan newer) {
+			this.plan = newer;
+			this.level = Math.min(this.level, largestLevel());
+			this.grant = Math.min(this.grant, largestLevel());
+		}
+
+		private long take() {
+			if (this.plan.ratePerSecond() <= 0) {
+				return 0;
+			}
+			this.asked++;
+			if (this.grant >= 1) {
+				this.grant--;
+				this.level--;
+				this.admitted++;
+				return 0;
+			}
+			this.refused++;
+			return (long) Math
+				.ceil(TimeUnit.SECONDS.toMillis(1) * Math.max(0.3, (1 - this.level) / this.plan.ratePerSecond()));
+		}
+
+		private void giveBack() {
+			if (this.plan.ratePerSecond() > 0) {
+				this.grant++;
+				this.level++;
+				this.admitted--;
+			}
 		}
 
-		private void refill(double rate, double burst, long now) {
-			if (!this.used) {
-				this.used = true;
-				this.tokens = burst * INITIAL_FILL;
+		private void divide(double silentPart, int members, long now) {
+			double seconds = this.divided ? (now - this.dividedAt) / (double) TimeUnit.SECONDS.toNanos(1) : 0;
+			this.divided = true;
+			this.dividedAt = now;
+			double weight = 1 - Math.exp(-seconds / SMOOTHING_SECONDS);
+			if (seconds > 0) {
+				this.demand += weight * (this.asked / seconds - this.demand);
+				this.demandElsewhere += weight * (this.askedElsewhere / seconds - this.demandElsewhere);
 			}
-			double seconds = (now - this.refilledAt) / (double) TimeUnit.SECONDS.toNanos(1);
-			this.refilledAt = now;
-			this.tokens = Math.min(burst, this.tokens + rate * seconds);
+			this.asked = 0;
+			this.askedElsewhere = 0;
+			double rate = this.plan.ratePerSecond();
+			this.level = Math.min(largestLevel(), this.level + rate * (1 - silentPart) * seconds);
+			double total = this.demand + this.demandElsewhere;
+			double part = (1 - silentPart) * BY_DEMAND * ((total > 0) ? this.demand / total : 1.0 / members)
+					+ (1 - BY_DEMAND * (1 - silentPart)) / members;
+			double left = Math.max(0, Math.min(1, this.grant));
+			double share = Math.max(0, this.level) * part;
+			if (this.level >= largestLevel() * CALM_LEVEL) {
+				double calm = rate * CALM_RATE_SECONDS + this.plan.burst() * CALM_BURST + CALM_SLACK;
+				share = Math.max(share, Math.max(1, calm / members));
+			}
+			this.grant = share + left;
+		}
+
+		private double largestLevel() {
+			return this.plan.burst() + this.plan.ratePerSecond() * LEVEL_RATE_SECONDS + LEVEL_SLACK;
 		}
 
 	}
--- a/schema/src/main/java/io/masticlane/schema/MessageGenerator.java
+++ b/schema/src/main/java/io/masticlane/schema/MessageGenerator.java
@@ -33,8 +33,8 @@
 
 	private static final Map<String, TypeName> TYPES = Map.of("int", TypeName.INT, "long", TypeName.LONG, "double",
 			TypeName.DOUBLE, "boolean", TypeName.BOOLEAN, "string", ClassName.get(String.class), "bytes",
-			ArrayTypeName.of(TypeName.BYTE), "demand",
-			ParameterizedTypeName.get(ClassName.get(Map.class), ClassName.get(String.class), TypeName.DOUBLE.box()));
+			ArrayTypeName.of(TypeName.BYTE), "counts",
+			ParameterizedTypeName.get(ClassName.get(Map.class), ClassName.get(String.class), TypeName.LONG.box()));
 
 	private MessageGenerator() {
 	}
@@ -146,8 +146,8 @@
 				.addStatement("packer.writePayload(this.$L)", name)
 				.build();
 		}
-		if (kind.equals("demand")) {
-			return CodeBlock.builder().addStatement("MessageFrame.packDemand(packer, this.$L)", name).build();
+		if (kind.equals("counts")) {
+			return CodeBlock.builder().addStatement("MessageFrame.packCounts(packer, this.$L)", name).build();
 		}
 		return CodeBlock.builder().addStatement("packer.pack$L(this.$L)", upperFirst(kind), name).build();
 	}
@@ -156,7 +156,7 @@
 		String kind = field.get("type").asText();
 		return switch (kind) {
 			case "bytes" -> "MessageFrame.readBytes(unpacker)";
-			case "demand" -> "MessageFrame.readDemand(unpacker)";
+			case "counts" -> "MessageFrame.readCounts(unpacker)";
 			default -> "unpacker.unpack" + upperFirst(kind) + "()";
 		};
 	}
