--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -173,6 +173,12 @@
 	 */
 	REQUEST_ABANDONED(6205, Severity.INFORMATION, "request={} route={} server={} cancelled={} age_ms={}"),
 
+	/**
+	 * A request was refused for the rate of its organisation.
+	 */
+	RATE_EXCEEDED(6206, Severity.INFORMATION,
+			"request={} organisation={} route={} rate={} {} heard={} members={} return_ms={} plan={}"),
+
 	/**
 	 * Log lines were dropped.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -184,7 +184,7 @@
 		if (this.organisation.isPresent()) {
 			long wait = this.traffic.shares().take(this.organisation.get().name());
 			if (wait > 0) {
-				refuse("rate", HttpResponseStatus.TOO_MANY_REQUESTS, 0, 0, Math.max(wait, SOON_MILLIS));
+				overRate(this.organisation.get(), Math.max(wait, SOON_MILLIS));
 				return;
 			}
 			this.tokenTaken = true;
@@ -427,6 +427,16 @@
 				OptionalDouble.of(returnMillis / TimeUnit.SECONDS.toMillis(1)));
 	}
 
+	private void overRate(OrganisationPlan exceeded, double returnMillis) {
+		this.traffic.events()
+			.record(Event.RATE_EXCEEDED, this.described.id(), exceeded.name(), routeName(), exceeded.ratePerSecond(),
+					this.traffic.shares().describe(exceeded.name()), this.traffic.heardGateways(),
+					this.traffic.gateways(), Math.round(returnMillis), this.plan.version());
+		finish("rate");
+		this.caller.answer(HttpResponseStatus.TOO_MANY_REQUESTS, "not run: rate",
+				OptionalDouble.of(returnMillis / TimeUnit.SECONDS.toMillis(1)));
+	}
+
 	private void reject(String reason, HttpResponseStatus status) {
 		this.traffic.events()
 			.record(Event.REQUEST_REFUSED, this.described.id(), reason, status.code(), routeName(), NO_ROUTE, age(), 0,
--- a/masticlane/src/main/java/io/masticlane/gateway/DecisionLog.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/DecisionLog.java
@@ -130,13 +130,16 @@
 			if (hole < 0) {
 				break;
 			}
-			line.append(pattern, from, hole).append(quoted(String.valueOf(argument)));
+			line.append(pattern, from, hole).append(quoted(pattern, hole, String.valueOf(argument)));
 			from = hole + 2;
 		}
 		return line.append(pattern, from, pattern.length()).toString();
 	}
 
-	private static String quoted(String value) {
+	private static String quoted(String pattern, int hole, String value) {
+		if (hole > 0 && pattern.charAt(hole - 1) != '=') {
+			return value;
+		}
 		boolean plain = !value.isEmpty()
 				&& value.chars().allMatch((each) -> each > ' ' && each != '"' && each != '=' && each < 127);
 		return plain ? value : '"' + value.replaceAll("[\\p{Cntrl}\"]", "'") + '"';
--- a/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
@@ -84,6 +84,14 @@
 		return allowance;
 	}
 
+	int gateways() {
+		return this.fleet.size();
+	}
+
+	int heardGateways() {
+		return this.fleet.freshReports(System.nanoTime()) + 1;
+	}
+
 	int gatewaysOfRegion() {
 		return this.fleet.sizeOfRegion(this.settings.region());
 	}
--- a/masticlane/src/main/java/io/masticlane/quota/RateShares.java
+++ b/masticlane/src/main/java/io/masticlane/quota/RateShares.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -166,13 +167,14 @@
 	}
 
 	/**
-	 * Returns the level of an organisation's bucket as this gateway sees it.
+	 * Returns what decides on an organisation's requests, for logs.
 	 * @param organisation the name of the organisation
-	 * @return the level in tokens
+	 * @return the level of the bucket, this gateway's part of it, and the demand a second
 	 */
-	public double level(String organisation) {
+	public String describe(String organisation) {
 		Account account = this.accounts.get(organisation);
-		return (account != null) ? account.level : 0;
+		return (account != null) ? String.format(Locale.ROOT, "level=%.1f grant=%.1f demand=%.1f elsewhere=%.1f",
+				account.level, account.grant, account.demand, account.demandElsewhere) : "level=-";
 	}
 
 	private record Heard(String incarnation, Map<String, Long> admitted, Map<String, Long> refused) {
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
@@ -0,0 +1,334 @@
+package io.masticlane.placement;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.masticlane.admission.AdmissionPolicy;
+import io.masticlane.plan.PathRoute;
+import io.masticlane.registry.RegisteredServer;
+
+/**
+ * A seeded simulation of backend servers that are faster for objects that they served
+ * lately, driven through the real placement and admission of several gateways. A server
+ * runs a request for an object that it keeps in a part of the time; it keeps a bounded
+ * number of objects, the least recently used of which goes first. Unlike the platform, it
+ * has neither failures nor connections, and a refused request returns once.
+ */
+final class LoadModel {
+
+	private static final String SERVICE = "ledger";
+
+	private static final double WARM_PART = 0.3;
+
+	private static final int KEPT_OBJECTS = 35;
+
+	private static final int QUEUE_FACTOR = 3;
+
+	private static final double FAR_MILLIS = 35;
+
+	private final Random random;
+
+	private final List<Kind> kinds;
+
+	private final List<Server> servers = new ArrayList<>();
+
+	private final Map<String, List<Placement>> gateways = new HashMap<>();
+
+	private final AdmissionPolicy admission;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::at));
+
+	private final Map<Integer, Tally> tallies = new HashMap<>();
+
+	LoadModel(long seed, List<Kind> kinds, Map<String, Integer> serversByRegion, int slots, int gatewaysOfRegion) {
+		this.random = new Random(seed);
+		this.kinds = kinds;
+		this.admission = new AdmissionPolicy(this.random::nextDouble);
+		serversByRegion.forEach((region, count) -> IntStream.range(0, count)
+			.forEach((each) -> this.servers.add(new Server(region + "-" + each, region, slots))));
+		serversByRegion.keySet()
+			.forEach((region) -> this.gateways.put(region,
+					IntStream.range(0, gatewaysOfRegion).mapToObj((each) -> gateway(region)).toList()));
+	}
+
+	/**
+	 * Plays a load.
+	 * @param seconds how long it lasts
+	 * @param factor by how much the kinds' demand is multiplied in each second
+	 * @return what callers got in each second
+	 */
+	Map<Integer, Tally> play(int seconds, java.util.function.IntToDoubleFunction factor) {
+		this.kinds
+			.forEach((kind) -> this.gateways.keySet().forEach((region) -> arrive(kind, region, 0, factor, seconds)));
+		every(250, seconds, (now) -> this.gateways.values()
+			.forEach((each) -> each.forEach((placement) -> placement.update(nanos(now)))));
+		while (!this.events.isEmpty()) {
+			Event next = this.events.poll();
+			next.run().at(next.at());
+		}
+		return this.tallies;
+	}
+
+	/**
+	 * Adds up what callers got in some seconds.
+	 * @param from the first second
+	 * @param to the second after the last one
+	 * @return the sum
+	 */
+	Tally total(int from, int to) {
+		Tally sum = new Tally();
+		IntStream.range(from, to)
+			.mapToObj((second) -> this.tallies.getOrDefault(second, new Tally()))
+			.forEach(sum::add);
+		return sum;
+	}
+
+	private Placement gateway(String region) {
+		Placement placement = new Placement(region, 1.5, 5);
+		this.servers.forEach((server) -> placement.add(new ServerState(server.entry(), server.region, -nanos(60_000))));
+		placement.update(0);
+		return placement;
+	}
+
+	private void every(double millis, int seconds, Task task) {
+		for (double at = 0; at < seconds * 1_000; at += millis) {
+			this.events.add(new Event(at, task));
+		}
+	}
+
+	private void arrive(Kind kind, String region, double now, java.util.function.IntToDoubleFunction factor,
+			int seconds) {
+		double rate = kind.perSecond() / this.gateways.size() * factor.applyAsDouble((int) (now / 1_000));
+		double at = now - Math.log(1 - this.random.nextDouble()) / rate * 1_000;
+		if (at < seconds * 1_000) {
+			this.events.add(new Event(at, (present) -> {
+				long object = Rendezvous.hash(kind.name() + this.random.nextInt(kind.objects()));
+				ask(new Ask(kind, region, object, present, 0), present);
+				arrive(kind, region, present, factor, seconds);
+			}));
+		}
+	}
+
+	private void ask(Ask ask, double now) {
+		List<Placement> fleet = this.gateways.get(ask.region());
+		Placement placement = fleet.get(this.random.nextInt(fleet.size()));
+		PathRoute route = ask.kind().route();
+		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, SERVICE, ask.object(),
+				Set.of(), Set.of(), route.objectiveMillis(), 8, fleet.size()), nanos(now));
+		double latest = this.admission.latest(route.objectiveMillis(), route.timeoutMillis(), route.priority());
+		if (choice.isEmpty() || choice.get().expectedMillis() > latest && !choice.get().free()) {
+			double excess = choice.map((each) -> each.expectedMillis() - latest).orElse(0.0);
+			refused(ask, now, this.admission.returnAfter(excess));
+			return;
+		}
+		Server server = this.servers.stream()
+			.filter((each) -> each.id.equals(choice.get().server().entry().id()))
+			.findFirst()
+			.orElseThrow();
+		ServerState state = choice.get().server();
+		state.sent(nanos(now));
+		double way = server.region.equals(ask.region()) ? 1 : FAR_MILLIS;
+		this.events.add(new Event(now + way,
+				(present) -> server.receive(new Work(ask, placement, choice.get(), now, way), present)));
+	}
+
+	private void refused(Ask ask, double now, double returnMillis) {
+		if (ask.tries() == 0) {
+			double delay = Math.min(returnMillis, ask.kind().deadlineMillis() / 3.0);
+			this.events.add(new Event(now + delay,
+					(present) -> ask(new Ask(ask.kind(), ask.region(), ask.object(), ask.askedAt(), 1), present)));
+		}
+		else {
+			tally(ask).refused++;
+		}
+	}
+
+	private Tally tally(Ask ask) {
+		return this.tallies.computeIfAbsent((int) (ask.askedAt() / 1_000), (second) -> new Tally());
+	}
+
+	private static long nanos(double millis) {
+		return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
+	}
+
+	/**
+	 * Something that happens at a time.
+	 */
+	@FunctionalInterface
+	private interface Task {
+
+		void at(double millis);
+
+	}
+
+	private record Event(double at, Task run) {
+	}
+
+	private record Ask(Kind kind, String region, long object, double askedAt, int tries) {
+	}
+
+	private record Work(Ask ask, Placement placement, Placement.Choice choice, double sentAt, double way) {
+	}
+
+	/**
+	 * A kind of request.
+	 *
+	 * @param name the name
+	 * @param perSecond the requests a second
+	 * @param objects the objects that they concern
+	 * @param workMillis the work on an object that the server does not keep
+	 * @param deadlineMillis how long callers wait
+	 * @param route the route
+	 */
+	record Kind(String name, double perSecond, int objects, double workMillis, long deadlineMillis, PathRoute route) {
+
+		static Kind of(String name, double perSecond, int objects, double workMillis, long objectiveMillis,
+				long timeoutMillis, int priority) {
+			return new Kind(name, perSecond, objects, workMillis, 4_000,
+					new PathRoute(name, "/" + name + "/", true, timeoutMillis, objectiveMillis, priority,
+							List.of(new PathRoute.WeightedService(SERVICE, 1)), 2, true, true, Set.of()));
+		}
+
+	}
+
+	/**
+	 * What callers got.
+	 */
+	static final class Tally {
+
+		private int inTime;
+
+		private int late;
+
+		private int refused;
+
+		private int timedOut;
+
+		int asked() {
+			return this.inTime + this.late + this.refused + this.timedOut;
+		}
+
+		double inTimePart() {
+			return this.inTime / (double) Math.max(1, asked());
+		}
+
+		private void add(Tally other) {
+			this.inTime += other.inTime;
+			this.late += other.late;
+			this.refused += other.refused;
+			this.timedOut += other.timedOut;
+		}
+
+		@Override
+		public String toString() {
+			return "in time " + this.inTime + ", late " + this.late + ", refused " + this.refused + ", timed out "
+					+ this.timedOut;
+		}
+
+	}
+
+	private final class Server {
+
+		private final String id;
+
+		private final String region;
+
+		private final int slots;
+
+		private final Deque<Work> queue = new ArrayDeque<>();
+
+		private final Map<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true) {
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+				return size() > KEPT_OBJECTS;
+			}
+		};
+
+		private int running;
+
+		private Server(String id, String region, int slots) {
+			this.id = id;
+			this.region = region;
+			this.slots = slots;
+		}
+
+		private RegisteredServer entry() {
+			return new RegisteredServer(this.id, SERVICE, InetSocketAddress.createUnresolved("10.0.0.1", 80),
+					this.region, this.slots, false, 0, 1, 1);
+		}
+
+		private void receive(Work work, double now) {
+			if (this.running < this.slots) {
+				run(work, now);
+			}
+			else if (this.queue.size() < this.slots * QUEUE_FACTOR) {
+				this.queue.add(work);
+			}
+			else {
+				answer(work, now, false, false);
+			}
+		}
+
+		private void run(Work work, double now) {
+			this.running++;
+			boolean warm = this.kept.containsKey(work.ask().object());
+			double spread = Math.exp(0.15 * LoadModel.this.random.nextGaussian());
+			double millis = work.ask().kind().workMillis() * spread * (warm ? WARM_PART : 1);
+			double limit = work.sentAt() + work.ask().kind().route().timeoutMillis();
+			double end = Math.min(now + millis, Math.max(now, limit));
+			boolean done = now + millis <= limit;
+			LoadModel.this.events.add(new Event(end, (present) -> {
+				this.running--;
+				if (done) {
+					this.kept.put(work.ask().object(), true);
+				}
+				Work next = this.queue.poll();
+				if (next != null) {
+					run(next, present);
+				}
+				answer(work, present, true, done);
+			}));
+		}
+
+		private void answer(Work work, double now, boolean ran, boolean done) {
+			int load = this.running + this.queue.size();
+			LoadModel.this.events.add(new Event(now + work.way(), (present) -> {
+				ServerState state = work.choice().server();
+				state.ended();
+				state.reported(load, nanos(present));
+				if (done) {
+					state.answered(work.ask().object(), true, nanos(present));
+					if (work.choice().free()) {
+						work.placement()
+							.times(work.ask().kind().route())
+							.measured(present - work.sentAt(), work.choice().warm());
+					}
+					boolean inTime = present - work.ask().askedAt() <= work.ask().kind().route().objectiveMillis();
+					tally(work.ask()).inTime += inTime ? 1 : 0;
+					tally(work.ask()).late += inTime ? 0 : 1;
+				}
+				else if (ran) {
+					tally(work.ask()).timedOut++;
+				}
+				else {
+					refused(work.ask(), present, 300);
+				}
+			}));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
@@ -0,0 +1,42 @@
+package io.masticlane.placement;
+
+import java.util.List;
+import java.util.Map;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+public class PlacementUnderLoadTests {
+
+	private static final List<LoadModel.Kind> KINDS = List.of(LoadModel.Kind.of("read", 236, 58, 880, 600, 1_200, 2),
+			LoadModel.Kind.of("post", 90, 24, 1_160, 800, 1_500, 1));
+
+	private static final Map<String, Integer> REGIONS = Map.of("west", 12, "east", 14, "north", 2);
+
+	@DataProvider
+	public Object[][] seeds() {
+		return new Object[][] { { 1L }, { 2L }, { 3L } };
+	}
+
+	@Test(dataProvider = "seeds")
+	public void anOrdinaryLoadIsServedInTimeOnceObjectsAreKnown(long seed) {
+		LoadModel model = model(seed);
+		model.play(30, (second) -> 1);
+		assertTrue(model.total(10, 30).inTimePart() >= 0.9, model.total(10, 30).toString());
+	}
+
+	@Test(dataProvider = "seeds")
+	public void aFloodIsServedInTimeAsFarAsSlotsGoAndLeavesNoTrace(long seed) {
+		LoadModel model = model(seed);
+		model.play(45, (second) -> (second >= 12 && second < 21) ? 3.2 : 1);
+		assertTrue(model.total(14, 21).inTimePart() >= 0.45, "flood: " + model.total(14, 21));
+		assertTrue(model.total(25, 45).inTimePart() >= 0.9, "afterwards: " + model.total(25, 45));
+	}
+
+	private static LoadModel model(long seed) {
+		return new LoadModel(seed, KINDS, REGIONS, 9, 2);
+	}
+
+}
