--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -75,6 +75,8 @@
 
 	private final Map<String, LocalShare> localShares = new HashMap<>();
 
+	private final Map<String, ObjectAssignment> assignments = new HashMap<>();
+
 	private final Map<String, ServiceTimes> times = new HashMap<>();
 
 	private Set<String> evacuated = Set.of();
@@ -247,23 +249,32 @@
 		List<ServerState> candidates = servers.stream()
 			.filter((each) -> allCold ? bearsCold(each, request, now) : !each.cold(now))
 			.toList();
+		List<ServerState> ranked = assigned(request, ranked(request, candidates), now);
 		List<Choice> choices = new ArrayList<>();
-		for (ServerState server : ranked(request, candidates)) {
-			choices.add(new Choice(server, expected(request, server, choices.size(), now),
-					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now)));
-			if (choices.size() == RANKS) {
-				break;
-			}
-		}
+		ranked.stream()
+			.limit(RANKS)
+			.forEach((server) -> choices.add(new Choice(server, expected(request, server, choices.size(), now),
+					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now))));
 		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
 	}
 
+	private List<ServerState> assigned(Request request, List<ServerState> ranked, long now) {
+		boolean own = !ranked.isEmpty() && ranked.get(0).region().equals(this.region);
+		if (!own || !request.route().sticky() || !request.excluded().isEmpty()) {
+			return ranked;
+		}
+		int place = this.assignments.computeIfAbsent(request.service(), (service) -> new ObjectAssignment())
+			.place(request.object(), ranked, now);
+		List<ServerState> reordered = new ArrayList<>(ranked);
+		reordered.add(0, reordered.remove(place));
+		return reordered;
+	}
+
 	private List<ServerState> ranked(Request request, Collection<ServerState> servers) {
 		return servers.stream()
 			.map((server) -> Map
 				.entry(Rendezvous.score(request.object(), server.hash(), Math.max(1, server.entry().slots())), server))
 			.sorted(Map.Entry.<Double, ServerState>comparingByKey().reversed())
-			.limit(RANKS)
 			.map(Map.Entry::getValue)
 			.toList();
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
@@ -35,6 +35,14 @@
 		assertTrue(model.total(25, 45).inTimePart() >= 0.9, "afterwards: " + model.total(25, 45));
 	}
 
+	@Test(dataProvider = "seeds")
+	public void aServiceOfFewSlotsIsServedInTime(long seed) {
+		LoadModel model = new LoadModel(seed, List.of(LoadModel.Kind.of("release", 77, 24, 600, 500, 1_500, 0)),
+				Map.of("west", 4, "east", 6, "north", 2), 3, 2);
+		model.play(40, (second) -> 1);
+		assertTrue(model.total(10, 40).inTimePart() >= 0.9, model.total(10, 40).toString());
+	}
+
 	private static LoadModel model(long seed) {
 		return new LoadModel(seed, KINDS, REGIONS, 9, 2);
 	}
