Bound queueing by the objective only where servers are crowded; read the store less often

Objects move back to a higher rank only when it holds few, so that a departure moves the objects of the server alone.

--- a/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
+++ b/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
@@ -10,11 +10,17 @@
 public final class AdmissionPolicy {
 
 	/**
-	 * The part of the objective that a request of each priority may use where it has to
-	 * queue; the last one holds for all lower ranks. An answer behind the objective is
+	 * The part of the objective that a request of each priority may use where servers are
+	 * crowded; the last one holds for all lower ranks. An answer behind the objective is
 	 * worth a fraction, costs the same slot, and makes those behind it late as well.
 	 */
-	private static final double[] QUEUED_PART_BY_PRIORITY = { 1.0, 0.9, 0.8 };
+	private static final double[] CROWDED_PART_BY_PRIORITY = { 1.0, 0.9, 0.8 };
+
+	/**
+	 * The part of the time between objective and limit that a request of each priority
+	 * may use besides the objective where servers are not crowded and a queue is short.
+	 */
+	private static final double[] CALM_PART_BY_PRIORITY = { 1.0, 0.8, 0.6 };
 
 	/**
 	 * The shortest and longest delay before a refused request returns, in milliseconds;
@@ -40,11 +46,16 @@
 	 * @param objectiveMillis the time within which an answer has its full value, from now
 	 * @param limitMillis the time that is left
 	 * @param priority the rank of the request
+	 * @param crowded whether the servers of the region have hardly a free slot
 	 * @return the time in milliseconds from now
 	 */
-	public double latest(double objectiveMillis, double limitMillis, int priority) {
-		int rank = Math.max(0, Math.min(QUEUED_PART_BY_PRIORITY.length - 1, priority));
-		return Math.min(limitMillis, objectiveMillis * QUEUED_PART_BY_PRIORITY[rank]);
+	public double latest(double objectiveMillis, double limitMillis, int priority, boolean crowded) {
+		int rank = Math.max(0, Math.min(CROWDED_PART_BY_PRIORITY.length - 1, priority));
+		if (crowded) {
+			return Math.min(limitMillis, objectiveMillis * CROWDED_PART_BY_PRIORITY[rank]);
+		}
+		return (limitMillis <= objectiveMillis) ? limitMillis
+				: objectiveMillis + (limitMillis - objectiveMillis) * CALM_PART_BY_PRIORITY[rank];
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -228,18 +229,22 @@
 			giveUp("no_server", 0, 0, SOON_MILLIS);
 			return;
 		}
+		Placement.Choice chosen = found.get();
+		boolean crowded = this.traffic.placement().crowded(this.wanted.service(), chosen.server().region());
 		double latest = this.traffic.admission()
-			.latest(this.route.objectiveMillis() - age(), left(),
-					this.organisation.map(OrganisationPlan::priority)
-						.filter((priority) -> priority.isPresent())
-						.map((priority) -> priority.getAsInt())
-						.orElse(this.route.priority()));
-		double expected = found.get().expectedMillis();
-		if (expected > latest && !found.get().free()) {
-			giveUp("load", expected, latest, this.traffic.admission().returnAfter(expected - latest));
+			.latest(this.route.objectiveMillis() - age(), left(), priority(), crowded);
+		double expected = crowded ? chosen.warmMillis() : chosen.expectedMillis();
+		if (expected > latest && !chosen.free()) {
+			giveUp(crowded ? "crowded" : "load", expected, latest,
+					this.traffic.admission().returnAfter(expected - latest));
 			return;
 		}
-		send(found.get(), now);
+		send(chosen, now);
+	}
+
+	private int priority() {
+		OptionalInt own = this.organisation.map(OrganisationPlan::priority).orElse(OptionalInt.empty());
+		return own.orElse(this.route.priority());
 	}
 
 	private void send(Placement.Choice chosen, long now) {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -20,7 +20,7 @@
 	 * The pause between reads of the store's changes, so that the beats of backend
 	 * servers share a call; a leaving server is noticed in 2.5 s at most.
 	 */
-	static final long FOLLOW_PAUSE_MILLIS = 650;
+	static final long FOLLOW_PAUSE_MILLIS = 1_100;
 
 	/**
 	 * How long a read of changes waits in the store.
--- a/masticlane/src/main/java/io/masticlane/placement/ObjectAssignment.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ObjectAssignment.java
@@ -10,8 +10,8 @@
 /**
  * Rendezvous hashing with bounded loads: an object belongs to the first server of its
  * ranking that does not hold its even part of the objects and some more already. It moves
- * only when its server leaves, or when a server that ranks higher has room, so that a new
- * server gets its part.
+ * only when its server leaves, or when a server that ranks higher holds few, so that a
+ * new server gets its part.
  */
 final class ObjectAssignment {
 
@@ -20,6 +20,12 @@
 	 */
 	private static final double BOUND = 1.2;
 
+	/**
+	 * The part of its even number of objects below which a server draws back objects that
+	 * rank it higher.
+	 */
+	private static final double ROOM = 0.6;
+
 	/**
 	 * How long an object counts after its last request, in nanoseconds.
 	 */
@@ -42,10 +48,12 @@
 		if (held != null) {
 			count(held.server(), -1);
 		}
-		int bound = (int) Math.ceil(BOUND * (this.objects.size() + 1) / ranked.size());
+		double even = (this.objects.size() + 1) / (double) ranked.size();
+		boolean kept = held != null && ranked.stream().anyMatch((each) -> each.hash() == held.server());
+		double room = Math.ceil(even * (kept ? ROOM : BOUND));
 		int place = 0;
-		while (place < ranked.size() - 1 && this.counts.getOrDefault(ranked.get(place).hash(), 0) >= bound
-				&& !(held != null && held.server() == ranked.get(place).hash())) {
+		while (place < ranked.size() - 1 && this.counts.getOrDefault(ranked.get(place).hash(), 0) >= room
+				&& !(kept && held.server() == ranked.get(place).hash())) {
 			place++;
 		}
 		long server = ranked.get(place).hash();
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -77,6 +77,8 @@
 
 	private final Map<String, ObjectAssignment> assignments = new HashMap<>();
 
+	private final Map<String, Crowd> crowds = new HashMap<>();
+
 	private final Map<String, ServiceTimes> times = new HashMap<>();
 
 	private Set<String> evacuated = Set.of();
@@ -152,6 +154,10 @@
 			List<ServerState> local = usable.stream().filter((each) -> each.region().equals(this.region)).toList();
 			double localSlots = slots(local);
 			double load = local.stream().mapToDouble((each) -> each.load(now)).sum() / Math.max(1, localSlots);
+			usable.stream()
+				.collect(Collectors.groupingBy(ServerState::region))
+				.forEach((name, each) -> this.crowds.computeIfAbsent(service + "@" + name, (key) -> new Crowd())
+					.update(each.stream().mapToDouble((server) -> server.load(now)).sum() / Math.max(1, slots(each))));
 			int regions = (int) usable.stream().map(ServerState::region).distinct().count();
 			if (!usable.isEmpty()) {
 				this.localShares.computeIfAbsent(service, (name) -> new LocalShare())
@@ -205,6 +211,17 @@
 		return this.times.computeIfAbsent(route.name(), (name) -> new ServiceTimes(route.objectiveMillis()));
 	}
 
+	/**
+	 * Returns whether the servers of a service in a region have hardly a free slot.
+	 * @param service the name of the service
+	 * @param name the name of the region
+	 * @return whether the servers are crowded
+	 */
+	public boolean crowded(String service, String name) {
+		Crowd crowd = this.crowds.get(service + "@" + name);
+		return crowd != null && crowd.crowded();
+	}
+
 	/**
 	 * Returns the part of a service's objects that the region serves itself.
 	 * @param service the name of the service
@@ -254,7 +271,8 @@
 		ranked.stream()
 			.limit(RANKS)
 			.forEach((server) -> choices.add(new Choice(server, expected(request, server, choices.size(), now),
-					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now))));
+					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now),
+					queued(request, server, now) + times(request.route()).expected(true))));
 		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
 	}
 
@@ -279,12 +297,16 @@
 			.toList();
 	}
 
+	private double queued(Request request, ServerState server, long now) {
+		int slots = Math.max(1, server.entry().slots());
+		double queued = Math.max(0, server.load(now) + 1 - slots);
+		return queued * times(request.route()).expected(true) / slots;
+	}
+
 	private double expected(Request request, ServerState server, int rank, long now) {
 		ServiceTimes measured = times(request.route());
 		boolean warm = server.served(request.object(), WARM_NANOS, now) || rank == 0 && server.known(now) > NEW_NANOS;
-		int slots = Math.max(1, server.entry().slots());
-		double queued = Math.max(0, server.load(now) + 1 - slots);
-		double wait = queued * measured.expected(true) / slots;
+		double wait = queued(request, server, now);
 		double spread = request.route().sticky()
 				? rank * RANK_COST * (measured.expected(false) - measured.expected(true)) : 0;
 		return wait + spread + measured.expected(warm || !request.route().sticky())
@@ -342,8 +364,9 @@
 	 * @param expectedMillis the expected time to the answer in milliseconds
 	 * @param free whether a slot is expected to be free
 	 * @param warm whether this gateway saw the server serve the object lately
+	 * @param warmMillis the expected time to the answer if the server knows the object
 	 */
-	public record Choice(ServerState server, double expectedMillis, boolean free, boolean warm) {
+	public record Choice(ServerState server, double expectedMillis, boolean free, boolean warm, double warmMillis) {
 	}
 
 }
