Trust no idle connection to a server after one of them went silent

A request that runs once and timed out kept its connection for good, and every further idle connection to a server that forgot them would cost a request its whole time. Idle connections are now closed after a timeout, and that of the request 5 s later.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -64,6 +64,12 @@
 
 	private static final long REPEATABLE_IDLE_MILLIS = 5_000;
 
+	/**
+	 * How long a request that runs once may still end at its server after it was given
+	 * up, in milliseconds.
+	 */
+	private static final long LAST_ANSWER_MILLIS = 5_000;
+
 	/**
 	 * When a caller returns after a refusal that no load explains, in milliseconds.
 	 */
@@ -152,6 +158,9 @@
 		this.traffic.events()
 			.record(Event.REQUEST_ABANDONED, this.described.id(), routeName(), serverName(), cancelled, age());
 		finish("abandoned");
+		if (!cancelled) {
+			this.traffic.loop().schedule(this::abandonAttempt, LAST_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+		}
 		if (cancelled && this.attemptOpen) {
 			endAttempt();
 			this.call.cancel();
@@ -405,11 +414,16 @@
 		}
 		boolean sent = this.mayHaveRun || this.attemptOpen && this.call.written();
 		if (this.attemptOpen) {
-			this.choice.server().failed(System.nanoTime(), false);
+			ServerState silent = this.choice.server();
+			silent.failed(System.nanoTime(), false);
+			this.traffic.servers().forget(silent.entry().address());
 			if (this.route.repeatable() || !this.call.written()) {
 				endAttempt();
 				this.call.cancel();
 			}
+			else {
+				this.traffic.loop().schedule(this::abandonAttempt, LAST_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+			}
 		}
 		if (sent) {
 			fail("timeout", HttpResponseStatus.GATEWAY_TIMEOUT);
@@ -419,6 +433,17 @@
 		}
 	}
 
+	/**
+	 * Closes the connection of a request that runs once, long after it was given up; its
+	 * server may have forgotten the connection.
+	 */
+	private void abandonAttempt() {
+		if (this.attemptOpen) {
+			endAttempt();
+			this.call.cancel();
+		}
+	}
+
 	private void refuse(String reason, HttpResponseStatus status, double expected, double latest, double returnMillis) {
 		this.traffic.events()
 			.record(Event.REQUEST_REFUSED, this.described.id(), reason, status.code(), routeName(),
