--- a/masticlane/src/main/java/io/masticlane/placement/ObjectAssignment.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ObjectAssignment.java
@@ -18,7 +18,7 @@
 	/**
 	 * How much more than the even part of the objects a server may hold.
 	 */
-	private static final double BOUND = 1.2;
+	private static final double BOUND = 1.5;
 
 	/**
 	 * The part of its even number of objects below which a server draws back objects that
