--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -1,15 +1,12 @@
 package io.masticlane.gateway;
 
-import java.net.URI;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.masticlane.caller.Headers;
 import io.masticlane.client.AnswerListener;
 import io.masticlane.client.ClientCall;
 import io.masticlane.event.Event;
@@ -20,14 +17,10 @@
 import io.masticlane.plan.PathRoute;
 import io.masticlane.plan.ServicePlan;
 import io.masticlane.plan.TrafficPlan;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
@@ -131,11 +124,13 @@
 			refuse("no_plan", HttpResponseStatus.SERVICE_UNAVAILABLE, 0, 0, SOON_MILLIS);
 			return;
 		}
-		List<String> hosts = this.request.headers().getAll(HttpHeaderNames.HOST);
-		if (hosts.size() != 1 || !readTarget(hosts.get(0))) {
+		Optional<RequestTarget> target = RequestTarget.read(this.request);
+		if (target.isEmpty()) {
 			reject("malformed", HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
+		this.path = target.get().target();
+		this.route = this.plan.route(target.get().host(), target.get().path()).orElse(null);
 		if (this.route == null) {
 			reject("no_route", HttpResponseStatus.NOT_FOUND);
 			return;
@@ -167,29 +162,6 @@
 		}
 	}
 
-	private boolean readTarget(String host) {
-		String target = this.request.uri();
-		String authority = host;
-		if (!target.startsWith("/")) {
-			try {
-				URI absolute = URI.create(target);
-				authority = absolute.getRawAuthority();
-				target = absolute.getRawPath() + ((absolute.getRawQuery() != null) ? "?" + absolute.getRawQuery() : "");
-			}
-			catch (IllegalArgumentException ex) {
-				return false;
-			}
-			if (authority == null || !target.startsWith("/")) {
-				return false;
-			}
-		}
-		this.path = target;
-		int query = target.indexOf('?');
-		String plainPath = (query >= 0) ? target.substring(0, query) : target;
-		this.route = this.plan.route(authority, plainPath).orElse(null);
-		return true;
-	}
-
 	private void admit() {
 		if (this.organisation.isPresent()) {
 			long wait = this.traffic.shares().take(this.organisation.get().name());
@@ -259,19 +231,9 @@
 	private void send(Placement.Choice chosen, long now) {
 		this.choice = chosen;
 		ServerState server = chosen.server();
-		FullHttpRequest forwarded = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.method(), this.path,
-				this.request.content().retainedDuplicate());
-		forwarded.headers().set(this.request.headers());
-		Headers.removeHopByHop(forwarded.headers());
-		forwarded.headers().remove(HttpHeaderNames.EXPECT);
-		forwarded.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		if (forwarded.content().isReadable() || this.request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-				|| HttpUtil.isTransferEncodingChunked(this.request)) {
-			HttpUtil.setContentLength(forwarded, forwarded.content().readableBytes());
-		}
-		this.traffic.dialect()
-			.forward(forwarded.headers(), new Dialect.Forwarding(server.entry().id(), Math.max(1, left()),
-					this.organisation.map(OrganisationPlan::name)));
+		FullHttpRequest forwarded = ForwardedRequest.of(this.request, this.path, this.traffic.dialect(),
+				new Dialect.Forwarding(server.entry().id(), Math.max(1, left()),
+						this.organisation.map(OrganisationPlan::name)));
 		this.tried.add(server.entry().id());
 		this.connectTries++;
 		server.sent(now);
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -1,13 +1,11 @@
 package io.masticlane.gateway;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
+import io.masticlane.operator.MetricsText;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /**
@@ -79,14 +77,7 @@
 	}
 
 	byte[] render() {
-		ByteArrayOutputStream output = new ByteArrayOutputStream();
-		try {
-			new PrometheusTextFormatWriter(true).write(output, this.registry.scrape());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("a byte array takes every write", ex);
-		}
-		return output.toByteArray();
+		return MetricsText.render(this.registry);
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/operator/Metrics.java
+++ b/masticlane/src/main/java/io/masticlane/operator/Metrics.java
@@ -1,12 +1,8 @@
 package io.masticlane.operator;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /**
@@ -95,14 +91,7 @@
 	 * @return the text in UTF-8
 	 */
 	public byte[] render() {
-		ByteArrayOutputStream output = new ByteArrayOutputStream();
-		try {
-			new PrometheusTextFormatWriter(true).write(output, this.registry.scrape());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("a byte array takes every write", ex);
-		}
-		return output.toByteArray();
+		return MetricsText.render(this.registry);
 	}
 
 }
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/fleet/GatewayFleetTests.java
@@ -0,0 +1,79 @@
+package io.masticlane.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.message.Message;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+public class GatewayFleetTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private GatewayFleet fleet;
+
+	@BeforeMethod
+	public void start() {
+		this.fleet = new GatewayFleet("self");
+	}
+
+	@Test
+	public void callersAreSentToTheirRegionWhileAnyGatewayOfItTakesThem() {
+		describe("self", "west");
+		describe("a", "north");
+		report("a", true, false, 3 * SECOND);
+		assertEquals(hosts("west", 3 * SECOND), List.of("self"));
+		assertEquals(hosts("north", 3 * SECOND), List.of("a"));
+		report("a", true, true, 3 * SECOND);
+		assertEquals(hosts("north", 3 * SECOND), List.of("self"));
+	}
+
+	@Test
+	public void aGatewayThatIsNotHeardIsNotNamed() {
+		describe("self", "west");
+		describe("a", "west");
+		assertEquals(hosts("west", SECOND), List.of("a", "self"));
+		assertEquals(hosts("west", 3 * SECOND), List.of("self"));
+		report("a", true, false, 3 * SECOND);
+		assertEquals(hosts("west", 4 * SECOND), List.of("a", "self"));
+		this.fleet.lost("a");
+		assertEquals(hosts("west", 4 * SECOND), List.of("self"));
+	}
+
+	@Test
+	public void anEntryIsReadAsItWasWritten() {
+		Gateway gateway = gateway("a", "west");
+		assertEquals(GatewayEntry.decode(GatewayEntry.encode(gateway)), gateway);
+		assertEquals(GatewayEntry.host(GatewayEntry.key("a")).orElseThrow(), "a");
+	}
+
+	@Test
+	public void bytesOfAnotherWriterAreNoEntry() {
+		assertThrows(IllegalArgumentException.class, () -> GatewayEntry.decode(new byte[] { 1, 2, 3 }));
+		assertThrows(IllegalArgumentException.class, () -> GatewayEntry.decode(new byte[0]));
+	}
+
+	private List<String> hosts(String region, long now) {
+		return this.fleet.forCallers(region, now).stream().map(Gateway::host).toList();
+	}
+
+	private void describe(String host, String region) {
+		this.fleet.described(gateway(host, region), 0);
+	}
+
+	private void report(String host, boolean ready, boolean leaving, long now) {
+		this.fleet.heard(host, new Message.GatewayReport(1, 1, "", leaving, ready, Map.of(), Map.of()), now);
+	}
+
+	private static Gateway gateway(String host, String region) {
+		return new Gateway(host, "1", region + "-1", region, new InetSocketAddress("127.0.0.1", 1),
+				new InetSocketAddress("127.0.0.1", 2), false);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/gateway/WeightedRoundRobinTests.java
@@ -0,0 +1,35 @@
+package io.masticlane.gateway;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import io.masticlane.plan.PathRoute;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class WeightedRoundRobinTests {
+
+	@Test
+	public void everyServiceGetsItsPartOfAHundredRequests() {
+		WeightedRoundRobin split = new WeightedRoundRobin();
+		PathRoute route = route(90, 10);
+		assertEquals(IntStream.range(0, 100).filter((request) -> split.service(route).equals("b")).count(), 10);
+	}
+
+	@Test
+	public void newWeightsHoldAtOnce() {
+		WeightedRoundRobin split = new WeightedRoundRobin();
+		IntStream.range(0, 50).forEach((request) -> split.service(route(90, 10)));
+		assertEquals(IntStream.range(0, 100).filter((request) -> split.service(route(50, 50)).equals("b")).count(), 50,
+				1);
+	}
+
+	private static PathRoute route(double first, double second) {
+		return new PathRoute("r", "/r/", true, 0, 500, 0,
+				List.of(new PathRoute.WeightedService("a", first), new PathRoute.WeightedService("b", second)), 2, true,
+				true, Set.of());
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
@@ -0,0 +1,67 @@
+package io.masticlane.placement;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.masticlane.registry.RegisteredServer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class ServerStateTests {
+
+	private ServerState server;
+
+	@BeforeMethod
+	public void start() {
+		this.server = new ServerState(entry(1, 0), "west", 0);
+	}
+
+	@Test
+	public void requestsOfOtherGatewaysCountByTheReportedLoad() {
+		IntStream.range(0, 3).forEach((request) -> this.server.sent(0));
+		this.server.reported(9, 0);
+		this.server.sent(1);
+		assertEquals(this.server.load(2), 10);
+		assertEquals(this.server.load(TimeUnit.SECONDS.toNanos(10)), 4);
+	}
+
+	@Test
+	public void aServerThatCannotBeReachedIsLeftOutAndTriedAgain() {
+		this.server.failed(0, true);
+		assertTrue(this.server.ejected(1));
+		assertFalse(this.server.ejected(TimeUnit.SECONDS.toNanos(2)));
+	}
+
+	@Test
+	public void aSingleLostAnswerEjectsNobody() {
+		this.server.failed(0, false);
+		assertFalse(this.server.ejected(1));
+	}
+
+	@Test
+	public void aServerThatFailsHalfOfItsRequestsIsLeftOut() {
+		IntStream.range(0, 20).forEach((request) -> this.server.answered(5, request % 2 == 0, 0));
+		assertTrue(this.server.ejected(1));
+	}
+
+	@Test
+	public void aNewStartKnowsNoObject() {
+		this.server.answered(5, true, 0);
+		assertTrue(this.server.served(5, 10, 1));
+		this.server.entry(entry(2, 1_000), 1);
+		assertFalse(this.server.served(5, 10, 1));
+		assertTrue(this.server.cold(2));
+		assertFalse(this.server.cold(TimeUnit.SECONDS.toNanos(2)));
+	}
+
+	private static RegisteredServer entry(long startedAt, long coldMillis) {
+		return new RegisteredServer("i-1", "s", InetSocketAddress.createUnresolved("10.0.0.1", 80), "a", 4, false,
+				coldMillis, startedAt, 1);
+	}
+
+}
