Take an unreachable server for cold until an entry tells; eject no slow server

A server that could not be reached now counts as cold until an entry written since, or ten seconds, tell otherwise. Silence counts now only if nobody was answered meanwhile. Besides, a region's share grew for 13 s before the traffic began.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -270,7 +270,7 @@
 		this.mayHaveRun = true;
 		boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
 		if (told.encoded() || told.id().isEmpty() || success && !told.signed()) {
-			server.failed(now, false);
+			server.failed(now);
 			attemptFailed(server, "untrusted", answer.status().toString());
 			lost("untrusted_answer");
 			return;
@@ -329,7 +329,7 @@
 			}
 			return;
 		}
-		server.failed(now, false);
+		server.failed(now);
 		this.sentTo.add(server.entry().id());
 		this.mayHaveRun = true;
 		lost(failure.name());
@@ -377,7 +377,7 @@
 		boolean sent = this.mayHaveRun || this.attemptOpen && this.call.written();
 		if (this.attemptOpen) {
 			ServerState silent = this.choice.server();
-			silent.failed(System.nanoTime(), false);
+			silent.silent(this.sentAt, System.nanoTime());
 			this.traffic.servers().forget(silent.entry().address());
 			if (this.route.repeatable() || !this.call.written()) {
 				endAttempt();
@@ -462,7 +462,7 @@
 	}
 
 	private void eject(ServerState server, String reason) {
-		server.failed(System.nanoTime(), true);
+		server.unreachable(System.nanoTime());
 		this.traffic.events().record(Event.SERVER_EJECTED, server.entry().id(), server.entry().service(), reason);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/placement/LocalShare.java
+++ b/masticlane/src/main/java/io/masticlane/placement/LocalShare.java
@@ -19,6 +19,11 @@
 	 */
 	private static final double LOW_LOAD = 0.55;
 
+	/**
+	 * The load below which there is too little traffic to learn from.
+	 */
+	private static final double IDLE_LOAD = 0.05;
+
 	/**
 	 * The change a second; requests that change their region in two seconds stay far
 	 * below the cap on shifts.
@@ -53,7 +58,7 @@
 		if (load > HIGH_LOAD) {
 			this.share = Math.max(0, this.share - step);
 		}
-		else if (load < LOW_LOAD) {
+		else if (load < LOW_LOAD && load > IDLE_LOAD) {
 			this.share = Math.min(1, this.share + step);
 		}
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -38,6 +38,18 @@
 	 */
 	private static final int FAILURES_TO_EJECT = 3;
 
+	/**
+	 * How long after a server could not be reached an entry of the same start may still
+	 * be from before, in nanoseconds: a read of the store's changes and its pause.
+	 */
+	private static final long ENTRY_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	/**
+	 * How long after a server could not be reached it may still be cold if no entry
+	 * tells, in nanoseconds; a start is cold for some seconds.
+	 */
+	private static final long UNREACHED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	private static final double FAILURE_WEIGHT = 0.15;
 
 	/**
@@ -76,6 +88,14 @@
 
 	private boolean cold;
 
+	private boolean unreached;
+
+	private long unreachedAt;
+
+	private boolean answered;
+
+	private long answeredAt;
+
 	private long ejectedUntil;
 
 	private boolean ejected;
@@ -105,7 +125,11 @@
 	 * @param now the present in nanoseconds
 	 */
 	public void entry(RegisteredServer written, long now) {
-		if (this.entry != null && this.entry.startedAt() != written.startedAt()) {
+		boolean restarted = this.entry != null && this.entry.startedAt() != written.startedAt();
+		if (restarted || now - this.unreachedAt > ENTRY_LAG_NANOS) {
+			this.unreached = false;
+		}
+		if (restarted) {
 			this.served.clear();
 			this.reported = false;
 			this.failuresInRow = 0;
@@ -166,6 +190,8 @@
 	 * @param now the present in nanoseconds
 	 */
 	public void answered(long object, boolean success, long now) {
+		this.answered = true;
+		this.answeredAt = now;
 		this.failuresInRow = 0;
 		this.failureRatio += FAILURE_WEIGHT * ((success ? 0 : 1) - this.failureRatio);
 		if (success) {
@@ -181,18 +207,40 @@
 	}
 
 	/**
-	 * Records that the server gave no answer that can be used.
+	 * Records that an answer was lost or cannot be used.
 	 * @param now the present in nanoseconds
-	 * @param certain whether one failure is enough to eject the server
 	 */
-	public void failed(long now, boolean certain) {
+	public void failed(long now) {
 		this.failuresInRow++;
-		if (certain || this.failuresInRow >= FAILURES_TO_EJECT) {
+		if (this.failuresInRow >= FAILURES_TO_EJECT) {
 			this.failuresInRow = 0;
 			eject(now);
 		}
 	}
 
+	/**
+	 * Records that no answer came in time. A server that answered others meanwhile is
+	 * slow and not silent.
+	 * @param sentAt the time at which the request was sent, in nanoseconds
+	 * @param now the present in nanoseconds
+	 */
+	public void silent(long sentAt, long now) {
+		if (!this.answered || this.answeredAt - sentAt < 0) {
+			failed(now);
+		}
+	}
+
+	/**
+	 * Records that the server could not be reached, or that another one has its address.
+	 * When it comes back it may be cold, which only an entry written since can tell.
+	 * @param now the present in nanoseconds
+	 */
+	public void unreachable(long now) {
+		this.unreached = true;
+		this.unreachedAt = now;
+		eject(now);
+	}
+
 	/**
 	 * Returns whether the server is kept out for its failures.
 	 * @param now the present in nanoseconds
@@ -206,15 +254,18 @@
 	}
 
 	/**
-	 * Returns whether the server is cold.
+	 * Returns whether the server is cold or may be so since it could not be reached.
 	 * @param now the present in nanoseconds
-	 * @return whether the server is cold
+	 * @return whether the server is to be taken for cold
 	 */
 	public boolean cold(long now) {
 		if (this.cold && now - this.coldUntil >= 0) {
 			this.cold = false;
 		}
-		return this.cold;
+		if (this.unreached && now - this.unreachedAt > UNREACHED_NANOS) {
+			this.unreached = false;
+		}
+		return this.cold || this.unreached;
 	}
 
 	/**
