Read the regions once, and remove three accessors that nothing calls

Each look-up parsed the setting of all data centres anew; the daemon now keeps the map from its start. ClientConnections.idleConnections, ServerState.inFlight and Placement.localShare were dead.

--- a/masticlane/src/main/java/io/masticlane/client/ClientConnections.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientConnections.java
@@ -137,14 +137,6 @@
 		this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addFirst(whole);
 	}
 
-	/**
-	 * Returns the number of idle connections.
-	 * @return the number of idle connections
-	 */
-	public int idleConnections() {
-		return this.idle.values().stream().mapToInt(Deque::size).sum();
-	}
-
 	static void closeQuietly(Channel channel) {
 		if (channel != null) {
 			channel.close();
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -66,6 +66,8 @@
 
 	private final GatewaySettings settings;
 
+	private final Map<String, String> regions;
+
 	private final DecisionLog events;
 
 	private final GatewayFleet fleet;
@@ -94,11 +96,11 @@
 	 */
 	public GatewayDaemon(GatewaySettings settings, Platform platform, DecisionLog events) {
 		this.settings = settings;
+		this.regions = regions(settings.regions());
 		this.events = events;
 		this.fleet = new GatewayFleet(settings.host());
 		this.traffic = new Traffic(this.loop, platform.dialect(), settings, events, this.fleet);
-		this.beliefs = new GatewayBeliefs(this.traffic, this.fleet, settings.host(), regions(settings.regions()),
-				this::connect);
+		this.beliefs = new GatewayBeliefs(this.traffic, this.fleet, settings.host(), this.regions, this::connect);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
 		this.follower = new StoreFollower(this.loop, store, this.beliefs);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
@@ -153,7 +155,7 @@
 
 	@Override
 	public Optional<byte[]> lookUp(Dialect.LookUp lookUp) {
-		String region = regions(this.settings.regions()).getOrDefault(lookUp.dataCentre(), lookUp.region());
+		String region = this.regions.getOrDefault(lookUp.dataCentre(), lookUp.region());
 		List<InetSocketAddress> addresses = this.fleet.forCallers(region, System.nanoTime())
 			.stream()
 			.filter((gateway) -> ready() || !gateway.host().equals(this.settings.host()))
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -222,16 +222,6 @@
 		return crowd != null && crowd.crowded();
 	}
 
-	/**
-	 * Returns the part of a service's objects that the region serves itself.
-	 * @param service the name of the service
-	 * @return the share
-	 */
-	public double localShare(String service) {
-		LocalShare share = this.localShares.get(service);
-		return (share != null) ? share.share() : 0;
-	}
-
 	private boolean inService(ServerState server) {
 		return !server.entry().leaving() && !this.evacuated.contains(server.entry().dataCentre());
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -337,14 +337,6 @@
 		return this.hash;
 	}
 
-	/**
-	 * Returns the requests of this gateway that are under way.
-	 * @return the requests
-	 */
-	public int inFlight() {
-		return this.inFlight;
-	}
-
 	private void eject(long now) {
 		this.ejected = true;
 		this.ejectedUntil = now + (EJECTION_NANOS << Math.min(LARGEST_EJECTION_SHIFT, this.ejections));
