--- a/masticlane/src/main/java/io/masticlane/admission/RetryAllowance.java
+++ b/masticlane/src/main/java/io/masticlane/admission/RetryAllowance.java
@@ -11,7 +11,7 @@
 	 */
 	private static final double USED = 0.5;
 
-	private final double earned;
+	private double earned;
 
 	private double tokens;
 
@@ -25,6 +25,14 @@
 		this.earned = ratio * USED;
 	}
 
+	/**
+	 * Sets the ratio.
+	 * @param ratio the retries that a request allows over the whole fleet
+	 */
+	public void ratio(double ratio) {
+		this.earned = ratio * USED;
+	}
+
 	/**
 	 * Divides the fleet's slack.
 	 * @param slack the retries in a window besides the ratio, over the whole fleet
--- a/masticlane/src/main/java/io/masticlane/command/GatewayCommand.java
+++ b/masticlane/src/main/java/io/masticlane/command/GatewayCommand.java
@@ -1,24 +1,18 @@
 package io.masticlane.command;
 
-import java.io.IOException;
 import java.io.PrintStream;
-import java.io.Reader;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import java.util.Properties;
 import java.util.ServiceLoader;
-import java.util.concurrent.CountDownLatch;
 
 import io.masticlane.event.Event;
 import io.masticlane.gateway.DecisionLog;
 import io.masticlane.gateway.GatewayDaemon;
 import io.masticlane.gateway.Platform;
 import io.masticlane.setting.GatewaySettings;
-import io.masticlane.setting.SettingException;
-import io.masticlane.setting.SettingSource;
+import io.masticlane.setting.SettingsFile;
+import io.masticlane.setting.SettingsReload;
 import sun.misc.Signal;
 
 /**
@@ -45,39 +39,22 @@
 			return ExitStatus.SUCCESS;
 		}
 		parsed.noArguments();
-		Path file = Path.of(Optional.ofNullable(System.getenv(SETTINGS_VARIABLE))
+		SettingsFile file = SettingsFile.at(Path.of(Optional.ofNullable(System.getenv(SETTINGS_VARIABLE))
 			.orElseThrow(() -> new UsageException(
-					"got no " + SETTINGS_VARIABLE + ", expected the path of the settings file in it")));
-		GatewaySettings settings = read(file);
+					"got no " + SETTINGS_VARIABLE + ", expected the path of the settings file in it"))));
+		GatewaySettings settings = file.gateway();
 		Platform platform = ServiceLoader.load(Platform.class)
 			.findFirst()
 			.orElseThrow(() -> new UsageException("got a build without a platform, expected one on the class path"));
 		DecisionLog events = new DecisionLog(output);
 		GatewayDaemon daemon = new GatewayDaemon(settings, platform, events);
-		Signal.handle(new Signal("HUP"), (signal) -> reload(file, settings, events));
+		SettingsReload reload = new SettingsReload(file, daemon::settings,
+				(rejected, reason) -> events.record(Event.SETTINGS_REJECTED, rejected.path(), reason));
+		Signal.handle(new Signal("HUP"), (signal) -> reload.ask());
 		Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "planned-stop"));
 		daemon.start();
-		new CountDownLatch(1).await();
+		reload.watch();
 		return ExitStatus.SUCCESS;
 	}
 
-	static GatewaySettings read(Path file) throws IOException {
-		Properties lines = new Properties();
-		try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
-			lines.load(reader);
-		}
-		return GatewaySettings.from(new SettingSource(GatewaySettings.DESCRIPTORS,
-				(flag) -> Optional.ofNullable(lines.getProperty(flag)).filter((value) -> !value.isBlank()),
-				(variable) -> Optional.ofNullable(System.getenv(variable))));
-	}
-
-	private static void reload(Path file, GatewaySettings settings, DecisionLog events) {
-		try {
-			events.record(Event.SETTINGS_READ, file, !read(file).equals(settings));
-		}
-		catch (IOException | SettingException ex) {
-			events.record(Event.SETTINGS_REJECTED, file, ex.getMessage());
-		}
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -103,7 +103,7 @@
 	/**
 	 * The settings were read.
 	 */
-	SETTINGS_READ(6004, Severity.INFORMATION, "file={} changed={}"),
+	SETTINGS_READ(6004, Severity.INFORMATION, "changed={} next_start={}"),
 
 	/**
 	 * Changed settings were rejected.
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayBeliefs.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayBeliefs.java
@@ -2,10 +2,10 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
@@ -38,7 +38,7 @@
 
 	private final String self;
 
-	private final Map<String, String> regions;
+	private final UnaryOperator<String> regions;
 
 	private final EventLog events;
 
@@ -52,7 +52,7 @@
 
 	private boolean listed;
 
-	GatewayBeliefs(Traffic traffic, GatewayFleet fleet, String self, Map<String, String> regions,
+	GatewayBeliefs(Traffic traffic, GatewayFleet fleet, String self, UnaryOperator<String> regions,
 			Consumer<List<Gateway>> membersChanged) {
 		this.traffic = traffic;
 		this.fleet = fleet;
@@ -221,8 +221,7 @@
 			serverGone(former);
 		}
 		if (former == null || moved) {
-			this.traffic.placement()
-				.add(new ServerState(server, this.regions.getOrDefault(server.dataCentre(), server.dataCentre()), now));
+			this.traffic.placement().add(new ServerState(server, this.regions.apply(server.dataCentre()), now));
 		}
 		else {
 			this.traffic.placement()
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -20,6 +20,7 @@
 import io.masticlane.plan.CallerLimits;
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.setting.GatewaySettings;
+import io.masticlane.setting.SettingsChange;
 import io.masticlane.store.SharedState;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -52,6 +53,11 @@
 
 	private static final int BACKLOG = 1024;
 
+	/**
+	 * A request holds a connection of its caller and one to a backend server.
+	 */
+	private static final int CONNECTIONS_OF_A_REQUEST = 2;
+
 	private static final int LOOK_UP_BODY_BYTES = 4096;
 
 	private static final int LARGEST_LINE_BYTES = 8 * 1024;
@@ -66,7 +72,9 @@
 
 	private final GatewaySettings settings;
 
-	private final Map<String, String> regions;
+	private volatile GatewaySettings reread;
+
+	private Map<String, String> regions;
 
 	private final DecisionLog events;
 
@@ -96,11 +104,12 @@
 	 */
 	public GatewayDaemon(GatewaySettings settings, Platform platform, DecisionLog events) {
 		this.settings = settings;
+		this.reread = settings;
 		this.regions = regions(settings.regions());
 		this.events = events;
 		this.fleet = new GatewayFleet(settings.host());
 		this.traffic = new Traffic(this.loop, platform.dialect(), settings, events, this.fleet);
-		this.beliefs = new GatewayBeliefs(this.traffic, this.fleet, settings.host(), this.regions, this::connect);
+		this.beliefs = new GatewayBeliefs(this.traffic, this.fleet, settings.host(), this::regionOf, this::connect);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
 		this.follower = new StoreFollower(this.loop, store, this.beliefs);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
@@ -129,6 +138,14 @@
 				this.settings.dataCentre(), this.settings.callerAddress(), this.settings.storeAddress());
 	}
 
+	/**
+	 * Receives the settings as they were read again.
+	 * @param newer the settings
+	 */
+	public void settings(GatewaySettings newer) {
+		this.loop.execute(() -> adopt(newer));
+	}
+
 	/**
 	 * Begins a planned stop and waits for its end: callers are told to go elsewhere, and
 	 * requests under way are answered.
@@ -136,8 +153,7 @@
 	public void stop() {
 		this.loop.execute(this::leave);
 		try {
-			this.ended.await((long) (this.settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1)),
-					TimeUnit.MILLISECONDS);
+			this.ended.await((long) (this.reread.graceSeconds() * TimeUnit.SECONDS.toMillis(1)), TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -161,7 +177,7 @@
 			.filter((gateway) -> ready() || !gateway.host().equals(this.settings.host()))
 			.map(Gateway::callerAddress)
 			.toList();
-		double ttl = Math.min(GatewayTimes.LOOK_UP_SECONDS, this.settings.maximumTtlSeconds());
+		double ttl = Math.min(GatewayTimes.LOOK_UP_SECONDS, this.reread.maximumTtlSeconds());
 		return addresses.isEmpty() ? Optional.empty()
 				: Optional.of(this.traffic.dialect().lookUpAnswer(addresses, ttl));
 	}
@@ -182,6 +198,19 @@
 				this.settings.callerAddress(), this.settings.peerAddress(), this.traffic.leaving());
 	}
 
+	private void adopt(GatewaySettings newer) {
+		SettingsChange change = SettingsChange.between(this.reread, newer);
+		this.reread = newer;
+		this.regions = regions(newer.regions());
+		this.traffic.settings(newer);
+		this.events.record(Event.SETTINGS_READ, String.join(",", change.inForce()),
+				String.join(",", change.nextStart()));
+	}
+
+	private String regionOf(String dataCentre) {
+		return this.regions.getOrDefault(dataCentre, dataCentre);
+	}
+
 	private void connect(List<Gateway> others) {
 		this.peers.connect(others);
 	}
@@ -200,6 +229,9 @@
 				channel.close();
 			}
 		});
+		if (this.callers.size() > this.reread.maximumDescriptors() / CONNECTIONS_OF_A_REQUEST) {
+			this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
+		}
 		this.traffic.servers().sweep();
 		this.traffic.metrics()
 			.known(this.traffic.placement().servers().size(), this.fleet.size(),
@@ -228,7 +260,7 @@
 		this.listeners.forEach(Channel::close);
 		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
 		long after = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.leavingSince);
-		double latest = this.settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1) - GatewayTimes.KILL_MARGIN_MILLIS;
+		double latest = this.reread.graceSeconds() * TimeUnit.SECONDS.toMillis(1) - GatewayTimes.KILL_MARGIN_MILLIS;
 		if (!this.callers.isEmpty() && after < latest) {
 			this.loop.schedule(this::end, GatewayTimes.TICK_MILLIS, TimeUnit.MILLISECONDS);
 			return;
--- a/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
@@ -29,7 +29,9 @@
 
 	private final Dialect dialect;
 
-	private final GatewaySettings settings;
+	private final String region;
+
+	private GatewaySettings settings;
 
 	private final EventLog events;
 
@@ -60,6 +62,7 @@
 	Traffic(EventLoop loop, Dialect dialect, GatewaySettings settings, EventLog events, GatewayFleet fleet) {
 		this.loop = loop;
 		this.dialect = dialect;
+		this.region = settings.region();
 		this.settings = settings;
 		this.events = events;
 		this.fleet = fleet;
@@ -67,6 +70,12 @@
 		this.servers = new ClientConnections(loop, GatewayTimes.CONNECT_MILLIS, GatewayTimes.IDLE_MILLIS);
 	}
 
+	void settings(GatewaySettings newer) {
+		this.settings = newer;
+		this.placement.coldBounds(newer.coldOvershoot(), newer.coldSlack());
+		this.retries.values().forEach((allowance) -> allowance.ratio(newer.retryRatio()));
+	}
+
 	void plan(TrafficPlan newer) {
 		this.plan = newer;
 		this.shares.organisations(newer.organisations().values());
@@ -93,7 +102,7 @@
 	}
 
 	int gatewaysOfRegion() {
-		return this.fleet.sizeOfRegion(this.settings.region());
+		return this.fleet.sizeOfRegion(this.region);
 	}
 
 	boolean sampled() {
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -67,9 +67,9 @@
 
 	private final String region;
 
-	private final double coldOvershoot;
+	private double coldOvershoot;
 
-	private final double coldSlack;
+	private double coldSlack;
 
 	private final Map<String, Map<String, ServerState>> services = new HashMap<>();
 
@@ -97,6 +97,16 @@
 		this.coldSlack = coldSlack;
 	}
 
+	/**
+	 * Sets the bounds of cold servers.
+	 * @param overshoot the factor by which a cold server's rate may be exceeded
+	 * @param slack the requests in a second that a cold server may receive besides
+	 */
+	public void coldBounds(double overshoot, double slack) {
+		this.coldOvershoot = overshoot;
+		this.coldSlack = slack;
+	}
+
 	/**
 	 * Adds a server.
 	 * @param server the server
--- a/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
@@ -18,9 +18,8 @@
  * @param peerAddress The address for other entry hosts.
  * @param storeAddress The address of the platform's store.
  * @param storeMinimumLeaseSeconds The shortest lease that the store grants, in seconds.
- * @param maximumDescriptors The descriptors that the process may open.
- * @param serverHeartbeatSeconds The interval in seconds at which backend servers write
- * their entries.
+ * @param maximumDescriptors The descriptors that the process may open; idle connections
+ * of callers are closed beyond half of them.
  * @param graceSeconds The time in seconds from SIGTERM to SIGKILL.
  * @param maximumTtlSeconds The longest time in seconds for which callers keep a look-up.
  * @param retryRatio The retries that all entry hosts together may add to the requests for
@@ -34,8 +33,8 @@
 public record GatewaySettings(String host, String dataCentre, String region, String regions,
 		InetSocketAddress callerAddress, InetSocketAddress readinessAddress, InetSocketAddress directoryAddress,
 		InetSocketAddress peerAddress, InetSocketAddress storeAddress, double storeMinimumLeaseSeconds,
-		int maximumDescriptors, double serverHeartbeatSeconds, double graceSeconds, double maximumTtlSeconds,
-		double retryRatio, double retrySlack, double coldOvershoot, double coldSlack) {
+		int maximumDescriptors, double graceSeconds, double maximumTtlSeconds, double retryRatio, double retrySlack,
+		double coldOvershoot, double coldSlack) {
 
 	/**
 	 * The descriptors of every setting of this group.
@@ -60,9 +59,7 @@
 			new Setting("store-minimum-lease-seconds", "MASTICLANE_STORE_MINIMUM_LEASE_SECONDS", "decimal", "1", 0L, 0L,
 					"The shortest lease that the store grants, in seconds."),
 			new Setting("maximum-descriptors", "MASTICLANE_MAXIMUM_DESCRIPTORS", "integer", "4096", 256L, 10000000L,
-					"The descriptors that the process may open."),
-			new Setting("server-heartbeat-seconds", "MASTICLANE_SERVER_HEARTBEAT_SECONDS", "decimal", "1.5", 0L, 0L,
-					"The interval in seconds at which backend servers write their entries."),
+					"The descriptors that the process may open; idle connections of callers are closed beyond half of them."),
 			new Setting("grace-seconds", "MASTICLANE_GRACE_SECONDS", "decimal", "6", 0L, 0L,
 					"The time in seconds from SIGTERM to SIGKILL."),
 			new Setting("maximum-ttl-seconds", "MASTICLANE_MAXIMUM_TTL_SECONDS", "decimal", "5", 0L, 0L,
@@ -86,8 +83,7 @@
 				source.string("regions"), source.address("caller-address"), source.address("readiness-address"),
 				source.address("directory-address"), source.address("peer-address"), source.address("store-address"),
 				source.decimal("store-minimum-lease-seconds"), source.integer("maximum-descriptors"),
-				source.decimal("server-heartbeat-seconds"), source.decimal("grace-seconds"),
-				source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"), source.decimal("retry-slack"),
-				source.decimal("cold-overshoot"), source.decimal("cold-slack"));
+				source.decimal("grace-seconds"), source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"),
+				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"));
 	}
 }
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/setting/SettingsReloadTests.java
@@ -0,0 +1,104 @@
+package io.masticlane.setting;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class SettingsReloadTests {
+
+	private static final String LINES = """
+			host=entry-1
+			data-centre=west-1
+			region=west
+			regions=west-1:west
+			caller-address=127.0.0.1:1
+			readiness-address=127.0.0.1:2
+			directory-address=127.0.0.1:3
+			peer-address=127.0.0.1:4
+			store-address=127.0.0.1:5
+			""";
+
+	private final List<GatewaySettings> accepted = new ArrayList<>();
+
+	private final List<String> rejected = new ArrayList<>();
+
+	private Path path;
+
+	private SettingsReload reload;
+
+	private int changes;
+
+	@BeforeMethod
+	public void writeFile() throws IOException {
+		this.accepted.clear();
+		this.rejected.clear();
+		this.path = Files.createTempFile("masticlane", ".settings");
+		write(LINES);
+		this.reload = new SettingsReload(SettingsFile.at(this.path), this.accepted::add,
+				(file, reason) -> this.rejected.add(reason));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void deleteFile() throws IOException {
+		Files.deleteIfExists(this.path);
+	}
+
+	@Test
+	public void aFileThatChangedWithoutASignalIsReadAgainOnce() throws IOException {
+		this.reload.check(false);
+		write(LINES + "retry-ratio=0.4\n");
+		this.reload.check(false);
+		this.reload.check(false);
+		assertEquals(this.accepted.stream().map(GatewaySettings::retryRatio).toList(), List.of(0.4));
+	}
+
+	@Test
+	public void aFileIsReadWhenAskedForEvenIfItsTimeIsTheSame() {
+		this.reload.check(true);
+		assertEquals(this.accepted.size(), 1);
+	}
+
+	@Test
+	public void aBadFileIsRejectedAndTheNextGoodOneAccepted() throws IOException {
+		write(LINES + "retry-ratio=often\n");
+		this.reload.check(false);
+		assertEquals(this.accepted.size(), 0);
+		assertTrue(this.rejected.get(0).contains("often"), this.rejected.get(0));
+		write(LINES);
+		this.reload.check(false);
+		assertEquals(this.accepted.size(), 1);
+	}
+
+	@Test
+	public void aMissingFileIsReportedOnce() throws IOException {
+		Files.delete(this.path);
+		this.reload.check(false);
+		this.reload.check(false);
+		assertEquals(this.rejected.size(), 1);
+	}
+
+	@Test
+	public void aNameThatWaitsForTheNextStartIsToldApart() throws IOException {
+		GatewaySettings former = SettingsFile.at(this.path).gateway();
+		write(LINES.replace("127.0.0.1:4", "127.0.0.1:44") + "cold-slack=9\n");
+		SettingsChange change = SettingsChange.between(former, SettingsFile.at(this.path).gateway());
+		assertEquals(change, new SettingsChange(List.of("cold-slack"), List.of("peer-address")));
+	}
+
+	private void write(String lines) throws IOException {
+		Files.write(this.path, lines.getBytes(StandardCharsets.UTF_8));
+		Files.setLastModifiedTime(this.path, FileTime.fromMillis(1_000L * ++this.changes));
+	}
+
+}
