--- a/masticlane/src/main/java/io/masticlane/command/Main.java
+++ b/masticlane/src/main/java/io/masticlane/command/Main.java
@@ -14,7 +14,8 @@
 
 	private static final List<Command> COMMANDS = List.of(new EntryCommand(), new ApplyCommand(), new PlanCommand(),
 			new ShowCommand(), new DemoCommand(), new BenchCommand(), new ReportCommand(), new StatusCommand(),
-			new DrainCommand(), new GatewayCommand(), new SettingsCommand(), new ExplainCommand());
+			new DrainCommand(), new GatewayCommand(), new SettingsCommand(), new RehearseCommand(),
+			new ExplainCommand());
 
 	private Main() {
 	}
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/command/RehearseCommand.java
@@ -0,0 +1,41 @@
+package io.masticlane.command;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.ServiceLoader;
+
+import io.masticlane.gateway.Platform;
+import io.masticlane.rehearsal.Rehearsal;
+
+/**
+ * Runs gateways on loopback for a few seconds.
+ */
+final class RehearseCommand implements Command {
+
+	@Override
+	public String name() {
+		return "rehearse";
+	}
+
+	@Override
+	public String summary() {
+		return "Runs two gateways on loopback with an example plan, so that the build can archive their classes.";
+	}
+
+	@Override
+	public ExitStatus run(List<String> arguments, PrintStream output) throws Exception {
+		Arguments parsed = Arguments.parse(arguments, (parser) -> {
+		});
+		if (parsed.helped(output, this, "")) {
+			return ExitStatus.SUCCESS;
+		}
+		parsed.noArguments();
+		Platform platform = ServiceLoader.load(Platform.class)
+			.findFirst()
+			.orElseThrow(() -> new UsageException("got a build without a platform, expected one on the class path"));
+		int served = new Rehearsal(platform, output).run();
+		output.println(served + " requests were served");
+		return (served > 0) ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/gateway/Platform.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Platform.java
@@ -1,6 +1,7 @@
 package io.masticlane.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 import io.masticlane.store.SharedState;
 import io.netty.channel.EventLoop;
@@ -24,4 +25,48 @@
 	 */
 	SharedState store(EventLoop loop, InetSocketAddress address);
 
+	/**
+	 * Returns an example of what is written and said on the platform.
+	 * @return the example
+	 */
+	Example example();
+
+	/**
+	 * An example of what is written and said on a platform.
+	 */
+	interface Example {
+
+		/**
+		 * Returns the items of a store with a plan and one backend server.
+		 * @param server the address of the backend server
+		 * @return the items
+		 */
+		List<SharedState.Item> items(InetSocketAddress server);
+
+		/**
+		 * Returns a request that the plan allows.
+		 * @return the request as sent by a caller
+		 */
+		String request();
+
+		/**
+		 * Returns the backend server's answer to the request.
+		 * @return the answer as sent by the server
+		 */
+		String answer();
+
+		/**
+		 * Returns a look-up.
+		 * @return the look-up as sent by a caller
+		 */
+		String lookUp();
+
+		/**
+		 * Returns a question for readiness.
+		 * @return the question as sent by the platform
+		 */
+		String readiness();
+
+	}
+
 }
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/rehearsal/InMemoryState.java
@@ -0,0 +1,70 @@
+package io.masticlane.rehearsal;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import io.masticlane.store.SharedState;
+
+/**
+ * A store of one process whose leases never end.
+ */
+final class InMemoryState implements SharedState {
+
+	private final TreeMap<String, Written> items = new TreeMap<>();
+
+	private long position;
+
+	private long leases;
+
+	synchronized void put(List<Item> written) {
+		written.forEach((item) -> this.items.put(item.key(), new Written(item, ++this.position)));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Page> page(String prefix, String after) {
+		List<Item> found = this.items.tailMap(after, false)
+			.values()
+			.stream()
+			.map(Written::item)
+			.filter((item) -> item.key().startsWith(prefix))
+			.toList();
+		return CompletableFuture.completedFuture(new Page(found, false, this.position));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Changes> changes(String prefix, long after, long waitMillis) {
+		List<Item> changed = this.items.values()
+			.stream()
+			.filter((each) -> each.position() > after && each.item().key().startsWith(prefix))
+			.map(Written::item)
+			.toList();
+		return CompletableFuture.completedFuture(new Changes(changed, this.position));
+	}
+
+	@Override
+	public CompletableFuture<Boolean> put(String key, byte[] value, long lease) {
+		put(List.of(new Item(key, Optional.of(value))));
+		return CompletableFuture.completedFuture(true);
+	}
+
+	@Override
+	public synchronized CompletableFuture<Long> grantLease(long seconds) {
+		return CompletableFuture.completedFuture(++this.leases);
+	}
+
+	@Override
+	public CompletableFuture<Boolean> renewLease(long lease) {
+		return CompletableFuture.completedFuture(true);
+	}
+
+	@Override
+	public CompletableFuture<Void> revokeLease(long lease) {
+		return CompletableFuture.completedFuture(null);
+	}
+
+	private record Written(Item item, long position) {
+	}
+
+}
