Place requests without streams over every server

Change: servers are kept by region; one pass leaves out what may not be used and counts the healthy ones; elsewhere only the first of a ranking is looked for; loads of regions are summed in one pass.

--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -10,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 
 import io.masticlane.plan.PathRoute;
 
@@ -65,13 +65,17 @@
 
 	private static final double LARGEST_OVERFLOW = 4;
 
+	private static final ServiceServers NO_SERVERS = new ServiceServers();
+
+	private static final Comparator<Ranked> HIGHEST_FIRST = (one, other) -> Double.compare(other.score(), one.score());
+
 	private final String region;
 
 	private double coldOvershoot;
 
 	private double coldSlack;
 
-	private final Map<String, Map<String, ServerState>> services = new HashMap<>();
+	private final Map<String, ServiceServers> services = new HashMap<>();
 
 	private final Map<String, LocalShare> localShares = new HashMap<>();
 
@@ -112,8 +116,7 @@
 	 * @param server the server
 	 */
 	public void add(ServerState server) {
-		this.services.computeIfAbsent(server.entry().service(), (service) -> new HashMap<>())
-			.put(server.entry().id(), server);
+		this.services.computeIfAbsent(server.entry().service(), (service) -> new ServiceServers()).add(server);
 	}
 
 	/**
@@ -122,10 +125,7 @@
 	 * @param id its identifier
 	 */
 	public void remove(String service, String id) {
-		Map<String, ServerState> servers = this.services.get(service);
-		if (servers != null) {
-			servers.remove(id);
-		}
+		servers(service).remove(id);
 	}
 
 	/**
@@ -135,7 +135,7 @@
 	 * @return the server, if it is known
 	 */
 	public Optional<ServerState> server(String service, String id) {
-		return Optional.ofNullable(this.services.getOrDefault(service, Map.of()).get(id));
+		return servers(service).find(id);
 	}
 
 	/**
@@ -143,7 +143,7 @@
 	 * @return the servers
 	 */
 	public List<ServerState> servers() {
-		return this.services.values().stream().flatMap((each) -> each.values().stream()).toList();
+		return this.services.values().stream().flatMap((each) -> each.all().stream()).toList();
 	}
 
 	/**
@@ -160,18 +160,14 @@
 	 */
 	public void update(long now) {
 		this.services.forEach((service, servers) -> {
-			List<ServerState> usable = servers.values().stream().filter((each) -> inService(each)).toList();
-			List<ServerState> local = usable.stream().filter((each) -> each.region().equals(this.region)).toList();
-			double localSlots = slots(local);
-			double load = local.stream().mapToDouble((each) -> each.load(now)).sum() / Math.max(1, localSlots);
-			usable.stream()
-				.collect(Collectors.groupingBy(ServerState::region))
-				.forEach((name, each) -> this.crowds.computeIfAbsent(service + "@" + name, (key) -> new Crowd())
-					.update(each.stream().mapToDouble((server) -> server.load(now)).sum() / Math.max(1, slots(each))));
-			int regions = (int) usable.stream().map(ServerState::region).distinct().count();
-			if (!usable.isEmpty()) {
+			Map<String, RegionLoad> loads = servers.loads(this::inService, now);
+			loads.forEach((name, each) -> this.crowds.computeIfAbsent(service + "@" + name, (key) -> new Crowd())
+				.update(each.ratio()));
+			RegionLoad local = loads.getOrDefault(this.region, RegionLoad.none());
+			if (!loads.isEmpty()) {
 				this.localShares.computeIfAbsent(service, (name) -> new LocalShare())
-					.update(localSlots, slots(usable), regions, load, now);
+					.update(local.slots(), loads.values().stream().mapToDouble(RegionLoad::slots).sum(), loads.size(),
+							local.ratio(), now);
 			}
 		});
 	}
@@ -184,16 +180,12 @@
 	 */
 	public Optional<Choice> choose(Request request, long now) {
 		this.overflow = Math.min(LARGEST_OVERFLOW, this.overflow + OVERFLOW_PER_REQUEST);
-		Collection<ServerState> all = this.services.getOrDefault(request.service(), Map.of()).values();
-		List<ServerState> allowed = all.stream()
-			.filter((each) -> inService(each) && !request.excluded().contains(each.entry().id()))
-			.filter((each) -> request.homes().isEmpty() || request.homes().contains(each.region()))
-			.toList();
-		if (allowed.isEmpty()) {
+		Map<String, List<ServerState>> byRegion = servers(request.service()).usable(
+				(server) -> inService(server) && allows(request, server), (server) -> !server.ejected(now),
+				1 - LARGEST_EJECTED_PART);
+		if (byRegion.isEmpty()) {
 			return Optional.empty();
 		}
-		List<ServerState> sound = healthy(allowed, all.size(), now);
-		Map<String, List<ServerState>> byRegion = sound.stream().collect(Collectors.groupingBy(ServerState::region));
 		String home = regionOf(request, byRegion);
 		Optional<Choice> best = best(request, byRegion.get(home), now);
 		boolean full = best.isEmpty() || best.get().expectedMillis() > request.patienceMillis();
@@ -201,7 +193,7 @@
 			List<ServerState> elsewhere = byRegion.entrySet()
 				.stream()
 				.filter((entry) -> !entry.getKey().equals(home))
-				.flatMap((entry) -> ranked(request, entry.getValue()).stream().limit(1))
+				.map((entry) -> first(request, entry.getValue()))
 				.toList();
 			Optional<Choice> other = best(request, elsewhere, now);
 			if (other.isPresent() && (best.isEmpty() || other.get().expectedMillis() < best.get().expectedMillis())) {
@@ -233,15 +225,17 @@
 	}
 
 	private boolean inService(ServerState server) {
-		return !server.entry().leaving() && !this.evacuated.contains(server.entry().dataCentre());
+		return !server.entry().leaving()
+				&& (this.evacuated.isEmpty() || !this.evacuated.contains(server.entry().dataCentre()));
 	}
 
-	private List<ServerState> healthy(List<ServerState> allowed, int all, long now) {
-		List<ServerState> sound = allowed.stream().filter((each) -> !each.ejected(now)).toList();
-		if (sound.size() >= all * (1 - LARGEST_EJECTED_PART) || !sound.isEmpty() && sound.size() == allowed.size()) {
-			return sound;
-		}
-		return (sound.size() >= allowed.size() * (1 - LARGEST_EJECTED_PART)) ? sound : allowed;
+	private static boolean allows(Request request, ServerState server) {
+		return (request.excluded().isEmpty() || !request.excluded().contains(server.entry().id()))
+				&& (request.homes().isEmpty() || request.homes().contains(server.region()));
+	}
+
+	private ServiceServers servers(String service) {
+		return this.services.getOrDefault(service, NO_SERVERS);
 	}
 
 	private String regionOf(Request request, Map<String, List<ServerState>> byRegion) {
@@ -288,13 +282,19 @@
 		return reordered;
 	}
 
-	private List<ServerState> ranked(Request request, Collection<ServerState> servers) {
-		return servers.stream()
-			.map((server) -> Map
-				.entry(Rendezvous.score(request.object(), server.hash(), Math.max(1, server.entry().slots())), server))
-			.sorted(Map.Entry.<Double, ServerState>comparingByKey().reversed())
-			.map(Map.Entry::getValue)
-			.toList();
+	private static ServerState first(Request request, List<ServerState> servers) {
+		return Collections.max(servers, Comparator.comparingDouble((server) -> score(request, server)));
+	}
+
+	private static double score(Request request, ServerState server) {
+		return Rendezvous.score(request.object(), server.hash(), Math.max(1, server.entry().slots()));
+	}
+
+	private static List<ServerState> ranked(Request request, Collection<ServerState> servers) {
+		List<Ranked> ranked = new ArrayList<>(servers.size());
+		servers.forEach((server) -> ranked.add(new Ranked(score(request, server), server)));
+		ranked.sort(HIGHEST_FIRST);
+		return ranked.stream().map(Ranked::server).toList();
 	}
 
 	private double queued(Request request, ServerState server, long now) {
@@ -325,6 +325,9 @@
 		return servers.stream().mapToInt((each) -> each.entry().slots()).sum();
 	}
 
+	private record Ranked(double score, ServerState server) {
+	}
+
 	/**
 	 * What a server is chosen for.
 	 *
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
@@ -0,0 +1,88 @@
+package io.masticlane.placement;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import io.masticlane.plan.PathRoute;
+import io.masticlane.registry.RegisteredServer;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class ServiceServersTests {
+
+	private static final double MOST = 0.6;
+
+	private static final long NOW = 1_000_000_000L;
+
+	/**
+	 * What placing a request may cost the thread, with a service of 420 servers. At 40
+	 * requests a second on a host it is 0.8 % of a core.
+	 */
+	private static final long LARGEST_CHOICE_MICROS = 200;
+
+	private final ServiceServers servers = new ServiceServers();
+
+	@Test
+	public void unhealthyServersAreLeftOutUnlessTheyAreMost() {
+		IntStream.range(0, 10).forEach((index) -> this.servers.add(server(index, "r" + index % 2)));
+		assertEquals(ids((server) -> !server.entry().id().equals("s-3")).size(), 9);
+		assertEquals(ids((server) -> server.entry().id().equals("s-3")).size(), 10);
+		assertEquals(ids((server) -> false).size(), 10);
+	}
+
+	@Test
+	public void aRemovedServerLeavesItsRegionAndAnEmptyRegionIsNotNamed() {
+		ServiceServers few = new ServiceServers();
+		few.add(server(1, "r1"));
+		few.add(server(2, "r2"));
+		few.add(server(2, "r2"));
+		assertEquals(few.usable((each) -> true, (each) -> true, MOST).get("r2").size(), 1);
+		few.remove("s-2");
+		few.remove("s-2");
+		assertEquals(few.usable((each) -> true, (each) -> true, MOST).keySet(), Set.of("r1"));
+		assertEquals(few.loads((each) -> true, NOW), Map.of("r1", new RegionLoad(0, 6)));
+		assertEquals(few.loads((each) -> false, NOW), Map.of());
+	}
+
+	@Test
+	public void placingStaysCheapWithHundredsOfServers() {
+		Placement placement = new Placement("r1", 1.5, 5);
+		IntStream.range(0, 420).forEach((index) -> placement.add(server(index, "r" + index % 3)));
+		PathRoute route = new PathRoute("read", "/", true, 5_000, 1_000, 0,
+				List.of(new PathRoute.WeightedService("desk", 1)), 2, false, true, Set.of());
+		placement.update(NOW);
+		long best = Long.MAX_VALUE;
+		for (int round = 0; round < 20; round++) {
+			long start = System.nanoTime();
+			for (int object = 0; object < 200; object++) {
+				Placement.Request request = new Placement.Request(route, "desk",
+						Rendezvous.hash("object-" + round + "-" + object), Set.of(), Set.of(), 1_000, 0, 4);
+				assertTrue(placement.choose(request, NOW + object).isPresent());
+			}
+			best = Math.min(best, (System.nanoTime() - start) / 200);
+		}
+		assertTrue(best < LARGEST_CHOICE_MICROS * 1_000, "a choice took " + best + " ns");
+	}
+
+	private Set<String> ids(Predicate<ServerState> healthy) {
+		return this.servers.usable((each) -> true, healthy, MOST)
+			.values()
+			.stream()
+			.flatMap(List::stream)
+			.map((each) -> each.entry().id())
+			.collect(Collectors.toSet());
+	}
+
+	private static ServerState server(int index, String region) {
+		return new ServerState(new RegisteredServer("s-" + index, "desk", new InetSocketAddress("127.0.0.1", 1 + index),
+				"dc-" + region, 6, false, 0, 1, 1), region, 0);
+	}
+
+}
