Take the log lines and the entitlement out of CarriedRequest

Cause: the class held 522 lines of three concerns. Change: RequestEvents writes the lines of one request, Entitlement says which regions and which priority a route and an organisation allow together, tested by itself; nothing decides otherwise. 480 lines are left.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -3,16 +3,15 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.client.AnswerListener;
 import io.masticlane.client.ClientCall;
-import io.masticlane.event.Event;
 import io.masticlane.placement.Placement;
 import io.masticlane.placement.Rendezvous;
 import io.masticlane.placement.ServerState;
+import io.masticlane.plan.Entitlement;
 import io.masticlane.plan.OrganisationPlan;
 import io.masticlane.plan.PathRoute;
 import io.masticlane.plan.ServicePlan;
@@ -80,6 +79,8 @@
 
 	private final Set<String> sentTo = new HashSet<>();
 
+	private RequestEvents events;
+
 	private TrafficPlan plan;
 
 	private PathRoute route;
@@ -120,6 +121,8 @@
 		this.traffic.began();
 		this.plan = this.traffic.plan();
 		this.described = this.traffic.dialect().request(this.request.headers());
+		this.events = new RequestEvents(this.traffic.events(), this.described.id(), this.plan.version(),
+				this.arrivedAt);
 		if (this.plan.version() == TrafficPlan.NO_VERSION) {
 			refuse("no_plan", HttpResponseStatus.SERVICE_UNAVAILABLE, 0, 0, SOON_MILLIS);
 			return;
@@ -135,6 +138,7 @@
 			reject("no_route", HttpResponseStatus.NOT_FOUND);
 			return;
 		}
+		this.events.route(this.route.name());
 		if (this.plan.keyed()) {
 			this.organisation = this.described.key().flatMap(this.plan::holder);
 			if (this.organisation.isEmpty() && !this.route.open()) {
@@ -150,8 +154,7 @@
 			return;
 		}
 		boolean cancelled = this.route == null || this.route.repeatable() || !this.attemptOpen || !this.call.written();
-		this.traffic.events()
-			.record(Event.REQUEST_ABANDONED, this.described.id(), routeName(), serverName(), cancelled, age());
+		this.events.abandoned(serverName(), cancelled);
 		finish("abandoned");
 		if (!cancelled) {
 			this.traffic.loop().schedule(this::abandonAttempt, LAST_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
@@ -173,7 +176,7 @@
 		}
 		String service = this.traffic.splits().service(this.route);
 		this.traffic.retries(service).requested();
-		Set<String> homes = homes();
+		Set<String> homes = new Entitlement(this.route, this.organisation).homes();
 		long object = Rendezvous
 			.hash(this.route.sticky() ? this.described.object().orElse(this.described.id()) : this.described.id());
 		this.wanted = new Placement.Request(this.route, service, Rendezvous.hash(service) ^ object, homes, Set.of(),
@@ -184,21 +187,6 @@
 		attempt();
 	}
 
-	private Set<String> homes() {
-		Set<String> homes = new HashSet<>(this.route.homes());
-		Set<String> organisationHomes = this.organisation.map(OrganisationPlan::homes).orElse(Set.of());
-		if (homes.isEmpty()) {
-			return organisationHomes;
-		}
-		if (!organisationHomes.isEmpty()) {
-			homes.retainAll(organisationHomes);
-			if (homes.isEmpty()) {
-				return Set.of(NO_ROUTE);
-			}
-		}
-		return homes;
-	}
-
 	private void attempt() {
 		if (left() < SHORTEST_ATTEMPT_MILLIS) {
 			giveUp("no_time_left", 0, 0, SOON_MILLIS);
@@ -213,7 +201,8 @@
 		Placement.Choice chosen = found.get();
 		boolean crowded = this.traffic.placement().crowded(this.wanted.service(), chosen.server().region());
 		double latest = this.traffic.admission()
-			.latest(this.route.objectiveMillis() - age(), left(), priority(), crowded);
+			.latest(this.route.objectiveMillis() - age(), left(),
+					new Entitlement(this.route, this.organisation).priority(), crowded);
 		double expected = crowded ? chosen.warmMillis() : chosen.expectedMillis();
 		if (expected > latest && !chosen.free()) {
 			giveUp(crowded ? "crowded" : "load", expected, latest,
@@ -223,11 +212,6 @@
 		send(chosen, now);
 	}
 
-	private int priority() {
-		OptionalInt own = this.organisation.map(OrganisationPlan::priority).orElse(OptionalInt.empty());
-		return own.orElse(this.route.priority());
-	}
-
 	private void send(Placement.Choice chosen, long now) {
 		this.choice = chosen;
 		ServerState server = chosen.server();
@@ -259,7 +243,7 @@
 			else if (!full) {
 				server.answered(this.wanted.object(), false, now);
 			}
-			attemptFailed(server, "not_run", answer.status().toString());
+			this.events.attemptFailed(server, this.tried.size(), "not_run", answer.status().toString());
 			this.traffic.metrics().attempt("not_run");
 			if (!this.finished) {
 				again("shed", misdirected || this.traffic.retries(this.wanted.service()).take());
@@ -271,7 +255,7 @@
 		boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
 		if (told.encoded() || told.id().isEmpty() || success && !told.signed()) {
 			server.failed(now);
-			attemptFailed(server, "untrusted", answer.status().toString());
+			this.events.attemptFailed(server, this.tried.size(), "untrusted", answer.status().toString());
 			lost("untrusted_answer");
 			return;
 		}
@@ -286,7 +270,7 @@
 			return;
 		}
 		if (answer.status().code() >= UNPROCESSABLE && this.route.repeatable() && canRepeat()) {
-			attemptFailed(server, "server_error", answer.status().toString());
+			this.events.attemptFailed(server, this.tried.size(), "server_error", answer.status().toString());
 			attempt();
 			return;
 		}
@@ -301,16 +285,11 @@
 		}
 		if (success) {
 			if (this.traffic.sampled()) {
-				this.traffic.events()
-					.record(Event.REQUEST_SERVED, this.described.id(), answer.status().code(), routeName(),
-							server.entry().id(), this.tried.size(), age(), Math.round(this.choice.expectedMillis()),
-							this.choice.warm(), this.plan.version());
+				this.events.served(answer.status().code(), this.tried.size(), this.choice);
 			}
 		}
 		else {
-			this.traffic.events()
-				.record(Event.REQUEST_FAILED, this.described.id(), "server", answer.status().code(), routeName(),
-						server.entry().id(), this.tried.size(), age(), this.plan.version());
+			this.events.failed("server", answer.status().code(), server.entry().id(), this.tried.size());
 		}
 		finish(success ? "served" : "server_error");
 		this.caller.deliver(answer);
@@ -320,7 +299,7 @@
 		long now = System.nanoTime();
 		endAttempt();
 		this.traffic.metrics().attempt(failure.name());
-		attemptFailed(server, failure.name(), detail);
+		this.events.attemptFailed(server, this.tried.size(), failure.name(), detail);
 		if (failure == AnswerListener.Failure.NOT_SENT) {
 			eject(server, detail);
 			this.traffic.servers().forget(server.entry().address());
@@ -407,10 +386,8 @@
 	}
 
 	private void refuse(String reason, HttpResponseStatus status, double expected, double latest, double returnMillis) {
-		this.traffic.events()
-			.record(Event.REQUEST_REFUSED, this.described.id(), reason, status.code(), routeName(),
-					this.organisation.map(OrganisationPlan::name).orElse(NO_ROUTE), age(), Math.round(expected),
-					Math.round(latest), Math.round(returnMillis), this.plan.version());
+		this.events.refused(reason, status.code(), this.organisation.map(OrganisationPlan::name).orElse(NO_ROUTE),
+				expected, latest, returnMillis);
 		if (this.tokenTaken) {
 			this.traffic.shares().giveBack(this.organisation.orElseThrow().name());
 		}
@@ -420,27 +397,20 @@
 	}
 
 	private void overRate(OrganisationPlan exceeded, double returnMillis) {
-		this.traffic.events()
-			.record(Event.RATE_EXCEEDED, this.described.id(), exceeded.name(), routeName(), exceeded.ratePerSecond(),
-					this.traffic.shares().describe(exceeded.name()), this.traffic.heardGateways(),
-					this.traffic.gateways(), Math.round(returnMillis), this.plan.version());
+		this.events.overRate(exceeded, this.traffic, returnMillis);
 		finish("rate");
 		this.caller.answer(HttpResponseStatus.TOO_MANY_REQUESTS, "not run: rate",
 				OptionalDouble.of(returnMillis / TimeUnit.SECONDS.toMillis(1)));
 	}
 
 	private void reject(String reason, HttpResponseStatus status) {
-		this.traffic.events()
-			.record(Event.REQUEST_REFUSED, this.described.id(), reason, status.code(), routeName(), NO_ROUTE, age(), 0,
-					0, 0, this.plan.version());
+		this.events.refused(reason, status.code(), NO_ROUTE, 0, 0, 0);
 		finish(reason);
 		this.caller.answer(status, reason, OptionalDouble.empty());
 	}
 
 	private void fail(String reason, HttpResponseStatus status) {
-		this.traffic.events()
-			.record(Event.REQUEST_FAILED, this.described.id(), reason, status.code(), routeName(), serverName(),
-					this.tried.size(), age(), this.plan.version());
+		this.events.failed(reason, status.code(), serverName(), this.tried.size());
 		finish(reason);
 		this.caller.answer(status, "may have run: " + reason, OptionalDouble.empty());
 	}
@@ -463,13 +433,7 @@
 
 	private void eject(ServerState server, String reason) {
 		server.unreachable(System.nanoTime());
-		this.traffic.events().record(Event.SERVER_EJECTED, server.entry().id(), server.entry().service(), reason);
-	}
-
-	private void attemptFailed(ServerState server, String failure, String detail) {
-		this.traffic.events()
-			.record(Event.ATTEMPT_FAILED, this.described.id(), server.entry().id(), this.tried.size(), failure, age(),
-					detail);
+		this.events.ejected(server, reason);
 	}
 
 	private long left() {
@@ -505,7 +469,8 @@
 		public boolean answered(FullHttpResponse answer) {
 			Dialect.ServerAnswer told = CarriedRequest.this.traffic.dialect().answer(answer);
 			if (told.id().isPresent() && !told.id().get().equals(CarriedRequest.this.described.id())) {
-				attemptFailed(this.server, "foreign_answer", told.id().get());
+				CarriedRequest.this.events.attemptFailed(this.server, CarriedRequest.this.tried.size(),
+						"foreign_answer", told.id().get());
 				return false;
 			}
 			CarriedRequest.this.answered(this.server, answer, told);
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -0,0 +1,75 @@
+package io.masticlane.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.event.Event;
+import io.masticlane.event.EventLog;
+import io.masticlane.placement.Placement;
+import io.masticlane.placement.ServerState;
+import io.masticlane.plan.OrganisationPlan;
+
+/**
+ * Logs the decisions on one request with what they were taken by.
+ */
+final class RequestEvents {
+
+	private final EventLog log;
+
+	private final String id;
+
+	private final long planVersion;
+
+	private final long arrivedAt;
+
+	private String route = "-";
+
+	RequestEvents(EventLog log, String id, long planVersion, long arrivedAt) {
+		this.log = log;
+		this.id = id;
+		this.planVersion = planVersion;
+		this.arrivedAt = arrivedAt;
+	}
+
+	void route(String name) {
+		this.route = name;
+	}
+
+	void served(int status, int attempts, Placement.Choice choice) {
+		this.log.record(Event.REQUEST_SERVED, this.id, status, this.route, choice.server().entry().id(), attempts,
+				ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), this.planVersion);
+	}
+
+	void refused(String reason, int status, String organisation, double expectedMillis, double latestMillis,
+			double returnMillis) {
+		this.log.record(Event.REQUEST_REFUSED, this.id, reason, status, this.route, organisation, ageMillis(),
+				Math.round(expectedMillis), Math.round(latestMillis), Math.round(returnMillis), this.planVersion);
+	}
+
+	void overRate(OrganisationPlan exceeded, Traffic traffic, double returnMillis) {
+		this.log.record(Event.RATE_EXCEEDED, this.id, exceeded.name(), this.route, exceeded.ratePerSecond(),
+				traffic.shares().describe(exceeded.name()), traffic.heardGateways(), traffic.gateways(),
+				Math.round(returnMillis), this.planVersion);
+	}
+
+	void failed(String reason, int status, String server, int attempts) {
+		this.log.record(Event.REQUEST_FAILED, this.id, reason, status, this.route, server, attempts, ageMillis(),
+				this.planVersion);
+	}
+
+	void abandoned(String server, boolean cancelled) {
+		this.log.record(Event.REQUEST_ABANDONED, this.id, this.route, server, cancelled, ageMillis());
+	}
+
+	void attemptFailed(ServerState server, int attempts, String failure, String detail) {
+		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(), detail);
+	}
+
+	void ejected(ServerState server, String reason) {
+		this.log.record(Event.SERVER_EJECTED, server.entry().id(), server.entry().service(), reason);
+	}
+
+	private long ageMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
+	}
+
+}
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/plan/EntitlementTests.java
@@ -0,0 +1,57 @@
+package io.masticlane.plan;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+public class EntitlementTests {
+
+	@Test
+	public void whereOneNamesRegionsTheseBind() {
+		assertEquals(homes(Set.of(), Set.of()), Set.of());
+		assertEquals(homes(Set.of("west"), Set.of()), Set.of("west"));
+		assertEquals(homes(Set.of(), Set.of("east")), Set.of("east"));
+	}
+
+	@Test
+	public void whereBothNameRegionsTheCommonOnesBind() {
+		assertEquals(homes(Set.of("west", "east"), Set.of("east", "north")), Set.of("east"));
+	}
+
+	@Test
+	public void regionsWithoutACommonOneAllowNoRegion() {
+		Set<String> homes = homes(Set.of("west"), Set.of("east"));
+		assertFalse(homes.isEmpty());
+		assertFalse(homes.contains("west") || homes.contains("east"));
+	}
+
+	@Test
+	public void thePriorityOfAnOrganisationGoesBeforeThatOfTheRoute() {
+		assertEquals(new Entitlement(route(Set.of()), Optional.empty()).priority(), 1);
+		assertEquals(
+				new Entitlement(route(Set.of()), Optional.of(organisation(Set.of(), OptionalInt.of(2)))).priority(), 2);
+		assertEquals(
+				new Entitlement(route(Set.of()), Optional.of(organisation(Set.of(), OptionalInt.empty()))).priority(),
+				1);
+	}
+
+	private static Set<String> homes(Set<String> ofRoute, Set<String> ofOrganisation) {
+		return new Entitlement(route(ofRoute), Optional.of(organisation(ofOrganisation, OptionalInt.empty()))).homes();
+	}
+
+	private static PathRoute route(Set<String> homes) {
+		return new PathRoute("read", "/", true, 1_000, 500, 1, List.of(new PathRoute.WeightedService("desk", 1)), 1,
+				false, false, homes);
+	}
+
+	private static OrganisationPlan organisation(Set<String> homes, OptionalInt priority) {
+		return new OrganisationPlan("north", Set.of("k"), priority, 1, 1, homes);
+	}
+
+}
