--- a/masticlane/src/test/java/io/masticlane/command/SettingsCommandTests.java
+++ b/masticlane/src/test/java/io/masticlane/command/SettingsCommandTests.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import io.masticlane.fixture.SettingsLines;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -15,32 +16,20 @@
 
 public class SettingsCommandTests {
 
-	private static final String LINES = """
-			host=entry-1
-			data-centre=west-1
-			region=west
-			regions=west-1:west
-			caller-address=127.0.0.1:1
-			readiness-address=127.0.0.1:2
-			directory-address=127.0.0.1:3
-			peer-address=127.0.0.1:4
-			store-address=127.0.0.1:5
-			""";
-
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
 	private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
 
 	@Test
 	public void acceptableSettingsArePrintedWithTheNamesThatAreIgnored() throws IOException {
-		assertEquals(check(LINES + "colour=red\n"), ExitStatus.SUCCESS);
+		assertEquals(check(SettingsLines.REQUIRED + "colour=red\n"), ExitStatus.SUCCESS);
 		assertTrue(this.output.toString(StandardCharsets.UTF_8).contains("host=entry-1"));
 		assertTrue(this.output.toString(StandardCharsets.UTF_8).contains("unknown and ignored: colour"));
 	}
 
 	@Test
 	public void aBadValueGetsOneErrorThatNamesIt() throws IOException {
-		assertEquals(check(LINES.replace("127.0.0.1:4", "here")), ExitStatus.USAGE);
+		assertEquals(check(SettingsLines.REQUIRED.replace("127.0.0.1:4", "here")), ExitStatus.USAGE);
 		assertEquals(this.errors.toString(StandardCharsets.UTF_8).lines().toList(),
 				List.of("masticlane: --peer-address: got 'here', expected an address such as 127.0.0.1:8080"));
 	}
--- a/masticlane/src/test/java/io/masticlane/setting/SettingsReloadTests.java
+++ b/masticlane/src/test/java/io/masticlane/setting/SettingsReloadTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.masticlane.fixture.SettingsLines;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -17,18 +18,6 @@
 
 public class SettingsReloadTests {
 
-	private static final String LINES = """
-			host=entry-1
-			data-centre=west-1
-			region=west
-			regions=west-1:west
-			caller-address=127.0.0.1:1
-			readiness-address=127.0.0.1:2
-			directory-address=127.0.0.1:3
-			peer-address=127.0.0.1:4
-			store-address=127.0.0.1:5
-			""";
-
 	private final List<GatewaySettings> accepted = new ArrayList<>();
 
 	private final List<String> rejected = new ArrayList<>();
@@ -44,7 +33,7 @@
 		this.accepted.clear();
 		this.rejected.clear();
 		this.path = Files.createTempFile("masticlane", ".settings");
-		write(LINES);
+		write(SettingsLines.REQUIRED);
 		this.reload = new SettingsReload(SettingsFile.at(this.path), this.accepted::add,
 				(file, reason) -> this.rejected.add(reason));
 	}
@@ -57,7 +46,7 @@
 	@Test
 	public void aFileThatChangedWithoutASignalIsReadAgainOnce() throws IOException {
 		this.reload.check(false);
-		write(LINES + "retry-ratio=0.4\n");
+		write(SettingsLines.REQUIRED + "retry-ratio=0.4\n");
 		this.reload.check(false);
 		this.reload.check(false);
 		assertEquals(this.accepted.stream().map(GatewaySettings::retryRatio).toList(), List.of(0.4));
@@ -71,11 +60,11 @@
 
 	@Test
 	public void aBadFileIsRejectedAndTheNextGoodOneAccepted() throws IOException {
-		write(LINES + "retry-ratio=often\n");
+		write(SettingsLines.REQUIRED + "retry-ratio=often\n");
 		this.reload.check(false);
 		assertEquals(this.accepted.size(), 0);
 		assertTrue(this.rejected.get(0).contains("often"), this.rejected.get(0));
-		write(LINES);
+		write(SettingsLines.REQUIRED);
 		this.reload.check(false);
 		assertEquals(this.accepted.size(), 1);
 	}
@@ -91,7 +80,7 @@
 	@Test
 	public void aNameThatWaitsForTheNextStartIsToldApart() throws IOException {
 		GatewaySettings former = SettingsFile.at(this.path).gateway();
-		write(LINES.replace("127.0.0.1:4", "127.0.0.1:44") + "cold-slack=9\n");
+		write(SettingsLines.REQUIRED.replace("127.0.0.1:4", "127.0.0.1:44") + "cold-slack=9\n");
 		SettingsChange change = SettingsChange.between(former, SettingsFile.at(this.path).gateway());
 		assertEquals(change, new SettingsChange(List.of("cold-slack"), List.of("peer-address")));
 	}
