Find the platform in one place, and drop what nothing uses

Cause and change: two commands looked up the platform with the same words (PlatformAccess finds it for both); PeerReports kept an event loop that nothing used; each change of the store had its key read twice on the way to the registry; RequestHistory compiled a pattern for every line; SettingsFile carried an environment that is always the process's own; the server of the rehearsal answers the same thing to everybody and is now named so; a comment named the settings file, which another thread watches since. Nothing decides otherwise.

--- a/masticlane/src/main/java/io/masticlane/command/GatewayCommand.java
+++ b/masticlane/src/main/java/io/masticlane/command/GatewayCommand.java
@@ -4,12 +4,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import java.util.ServiceLoader;
 
 import io.masticlane.event.Event;
 import io.masticlane.gateway.DecisionLog;
 import io.masticlane.gateway.GatewayDaemon;
-import io.masticlane.gateway.Platform;
 import io.masticlane.setting.GatewaySettings;
 import io.masticlane.setting.SettingsFile;
 import io.masticlane.setting.SettingsReload;
@@ -43,11 +41,8 @@
 			.orElseThrow(() -> new UsageException(
 					"got no " + SETTINGS_VARIABLE + ", expected the path of the settings file in it"))));
 		GatewaySettings settings = file.gateway();
-		Platform platform = ServiceLoader.load(Platform.class)
-			.findFirst()
-			.orElseThrow(() -> new UsageException("got a build without a platform, expected one on the class path"));
 		DecisionLog events = new DecisionLog(output);
-		GatewayDaemon daemon = new GatewayDaemon(settings, platform, events);
+		GatewayDaemon daemon = new GatewayDaemon(settings, PlatformAccess.find(), events);
 		SettingsReload reload = new SettingsReload(file, daemon::settings,
 				(rejected, reason) -> events.record(Event.SETTINGS_REJECTED, rejected.path(), reason));
 		Signal.handle(new Signal("HUP"), (signal) -> reload.ask());
--- a/masticlane/src/main/java/io/masticlane/command/RehearseCommand.java
+++ b/masticlane/src/main/java/io/masticlane/command/RehearseCommand.java
@@ -2,9 +2,7 @@
 
 import java.io.PrintStream;
 import java.util.List;
-import java.util.ServiceLoader;
 
-import io.masticlane.gateway.Platform;
 import io.masticlane.rehearsal.Rehearsal;
 
 /**
@@ -30,10 +28,7 @@
 			return ExitStatus.SUCCESS;
 		}
 		parsed.noArguments();
-		Platform platform = ServiceLoader.load(Platform.class)
-			.findFirst()
-			.orElseThrow(() -> new UsageException("got a build without a platform, expected one on the class path"));
-		int served = new Rehearsal(platform, output).run();
+		int served = new Rehearsal(PlatformAccess.find(), output).run();
 		output.println(served + " requests were served");
 		return (served > 0) ? ExitStatus.SUCCESS : ExitStatus.FAILURE;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayBeliefs.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayBeliefs.java
@@ -67,7 +67,9 @@
 		long now = System.nanoTime();
 		Set<String> present = new HashSet<>();
 		items.forEach((item) -> present.add(item.key()));
-		this.registry.replaced(items.stream().flatMap((item) -> server(item).stream()).toList(), now);
+		this.registry.replaced(items.stream()
+			.flatMap((item) -> server(this.traffic.dialect().key(item.key()), item).stream())
+			.toList(), now);
 		evacuated(items.stream()
 			.map((item) -> this.traffic.dialect().key(item.key()))
 			.filter((key) -> key.kind() == Dialect.StoreKey.Kind.EVACUATION)
@@ -101,7 +103,7 @@
 				}
 				evacuated(next, FROM_STORE, -1);
 			}
-			case SERVER -> server(item).ifPresentOrElse(this.registry::written,
+			case SERVER -> server(key, item).ifPresentOrElse(this.registry::written,
 					() -> this.registry.deleted(key.name(), System.nanoTime()));
 			case OTHER -> GatewayEntry.host(item.key()).ifPresent((host) -> member(host, item));
 		}
@@ -199,8 +201,7 @@
 		return this.listed;
 	}
 
-	private Optional<RegisteredServer> server(SharedState.Item item) {
-		Dialect.StoreKey key = this.traffic.dialect().key(item.key());
+	private Optional<RegisteredServer> server(Dialect.StoreKey key, SharedState.Item item) {
 		if (key.kind() != Dialect.StoreKey.Kind.SERVER || item.value().isEmpty()) {
 			return Optional.empty();
 		}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -69,7 +69,7 @@
 	static final long TICK_MILLIS = 250;
 
 	/**
-	 * The interval at which connections and the settings file are looked through.
+	 * The interval at which connections are looked through.
 	 */
 	static final long SWEEP_MILLIS = 1_000;
 
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -14,7 +14,6 @@
 import io.masticlane.peer.PeerListener;
 import io.masticlane.peer.PeerNetwork;
 import io.netty.channel.Channel;
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 
 /**
@@ -38,8 +37,6 @@
 
 	private final Peer self;
 
-	private final EventLoop loop;
-
 	private final PeerNetwork network;
 
 	private long behindSince;
@@ -57,7 +54,6 @@
 		this.beliefs = beliefs;
 		this.store = store;
 		this.self = self;
-		this.loop = traffic.loop();
 		this.network = new PeerNetwork(loops, self, GatewayTimes.PEER_SILENCE_MILLIS, this, traffic.events());
 	}
 
--- a/masticlane/src/main/java/io/masticlane/rehearsal/EchoServer.java
+++ b/masticlane/src/main/java/io/masticlane/rehearsal/FixedAnswerServer.java
@@ -12,13 +12,13 @@
 /**
  * A backend server on loopback that gives every request the same answer.
  */
-final class EchoServer implements AutoCloseable {
+final class FixedAnswerServer implements AutoCloseable {
 
 	private final ServerSocket listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
 
 	private final String answer;
 
-	EchoServer(String answer) throws IOException {
+	FixedAnswerServer(String answer) throws IOException {
 		this.answer = answer;
 		Thread acceptor = new Thread(this::accept, "rehearsal-server");
 		acceptor.setDaemon(true);
@@ -47,8 +47,8 @@
 				}
 			}
 			catch (IOException ex) {
-				// The gateway closed a connection, or the rehearsal is over.
-				continue;
+				continue; // a connection was closed, or the listener was: the loop tells
+							// which
 			}
 		}
 	}
--- a/masticlane/src/main/java/io/masticlane/rehearsal/Rehearsal.java
+++ b/masticlane/src/main/java/io/masticlane/rehearsal/Rehearsal.java
@@ -70,7 +70,7 @@
 		List<GatewayDaemon> daemons = new ArrayList<>();
 		List<GatewaySettings> settings = new ArrayList<>();
 		Platform.Example example = this.platform.example();
-		try (EchoServer server = new EchoServer(example.answer())) {
+		try (FixedAnswerServer server = new FixedAnswerServer(example.answer())) {
 			this.state.put(example.items(server.address()));
 			for (String host : HOSTS) {
 				settings.add(settings(host));
--- a/masticlane/src/main/java/io/masticlane/report/RequestHistory.java
+++ b/masticlane/src/main/java/io/masticlane/report/RequestHistory.java
@@ -19,6 +19,8 @@
 
 	private static final Pattern FIELD = Pattern.compile("([a-z_]+)=(\"[^\"]*\"|\\S+)");
 
+	private static final Pattern MILLIS = Pattern.compile("\\d{1,18}");
+
 	private static final String REQUEST = "request";
 
 	private static final String SERVER = "server";
@@ -98,7 +100,7 @@
 				.results()
 				.collect(Collectors.toMap((match) -> match.group(1), (match) -> unquoted(match.group(2)),
 						(former, later) -> former));
-			Matcher time = Pattern.compile("\\d{1,18}").matcher(fields.get("time_ms"));
+			Matcher time = MILLIS.matcher(fields.get("time_ms"));
 			return (time.matches() && fields.containsKey("event"))
 					? Optional.of(new Line(source, Long.parseLong(fields.get("time_ms")), fields, line))
 					: Optional.empty();
--- a/masticlane/src/main/java/io/masticlane/setting/SettingsFile.java
+++ b/masticlane/src/main/java/io/masticlane/setting/SettingsFile.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Properties;
-import java.util.function.Function;
 
 /**
  * A file of settings with lines of {@code name=value}. Environment variables stand in for
@@ -19,11 +18,8 @@
 
 	private final Path path;
 
-	private final Function<String, Optional<String>> environment;
-
-	private SettingsFile(Path path, Function<String, Optional<String>> environment) {
+	private SettingsFile(Path path) {
 		this.path = path;
-		this.environment = environment;
 	}
 
 	/**
@@ -32,7 +28,7 @@
 	 * @return the settings file
 	 */
 	public static SettingsFile at(Path path) {
-		return new SettingsFile(path, (variable) -> Optional.ofNullable(System.getenv(variable)));
+		return new SettingsFile(path);
 	}
 
 	/**
@@ -44,7 +40,7 @@
 		Properties lines = lines();
 		return GatewaySettings.from(new SettingSource(GatewaySettings.DESCRIPTORS,
 				(flag) -> Optional.ofNullable(lines.getProperty(flag)).filter((value) -> !value.isBlank()),
-				this.environment));
+				(variable) -> Optional.ofNullable(System.getenv(variable))));
 	}
 
 	/**
