Log and count the regions that requests are sent to, and why

What callers saw: much of a region's traffic changed its region at once (SHIFT). The logs could not tell the hypotheses apart: one served request in 64 is logged, none with its region.

Each gateway now compares the regions of its requests in windows of two seconds and logs event 6108 from 5% on, with the requests by region before and after, the reason for each region (own share, assigned, overflow, no candidate), refusals by region, and the shares of its own region. Counters and a gauge tell the same in the metrics. No decision is changed.

Run: RegionFlowTests, EventTests, MetricsTests and the placement tests pass.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -145,6 +145,12 @@
 	 */
 	REGISTRATION_LOST(6107, Severity.WARNING, "host={} lease={} reason={}"),
 
+	/**
+	 * Some of the requests of this gateway changed their region within two windows.
+	 */
+	REGIONS_CHANGED(6108, Severity.INFORMATION,
+			"moved_percent={} before={} after={} reasons={} refused={} own_shares={}"),
+
 	/**
 	 * A request was refused without having run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -205,6 +205,7 @@
 					new Entitlement(this.route, this.organisation).priority(), crowded);
 		double expected = crowded ? chosen.warmMillis() : chosen.expectedMillis();
 		if (expected > latest && !chosen.free()) {
+			this.traffic.regionFlow().refused(chosen.server().region());
 			giveUp(crowded ? "crowded" : "load", expected, latest,
 					this.traffic.admission().returnAfter(expected - latest));
 			return;
@@ -221,6 +222,8 @@
 		this.tried.add(server.entry().id());
 		this.connectTries++;
 		server.sent(now);
+		this.traffic.regionFlow().sent(chosen);
+		this.traffic.metrics().sent(this.wanted.service(), chosen);
 		this.sentAt = now;
 		this.attemptOpen = true;
 		this.call = this.traffic.servers()
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -5,11 +5,13 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.masticlane.caller.BodyAggregator;
 import io.masticlane.caller.CallerCodec;
@@ -58,6 +60,13 @@
 	 */
 	private static final int CONNECTIONS_OF_A_REQUEST = 2;
 
+	/**
+	 * The part of requests from which a change of their region is logged.
+	 */
+	private static final double LOGGED_SHIFT = 0.05;
+
+	private static final int PERCENT = 100;
+
 	private static final int LOOK_UP_BODY_BYTES = 4096;
 
 	private static final int LARGEST_LINE_BYTES = 8 * 1024;
@@ -219,6 +228,21 @@
 		long now = System.nanoTime();
 		this.beliefs.expire(now);
 		this.traffic.placement().update(now);
+		this.traffic.regionFlow()
+			.next(now)
+			.filter((change) -> change.moved() >= LOGGED_SHIFT)
+			.ifPresent((change) -> this.events.record(Event.REGIONS_CHANGED, Math.round(change.moved() * PERCENT),
+					change.before(), change.after(), change.reasons(), change.refused(), ownShares()));
+	}
+
+	private String ownShares() {
+		return this.traffic.placement()
+			.shares()
+			.entrySet()
+			.stream()
+			.sorted(Map.Entry.comparingByKey())
+			.map((entry) -> String.format(Locale.ROOT, "%s:%.2f", entry.getKey(), entry.getValue()))
+			.collect(Collectors.joining(","));
 	}
 
 	private void sweep() {
@@ -233,6 +257,7 @@
 			this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
 		}
 		this.traffic.servers().sweep();
+		this.traffic.metrics().ownShares(this.traffic.placement().shares());
 		this.traffic.metrics()
 			.known(this.traffic.placement().servers().size(), this.fleet.size(),
 					this.follower.ageMillis() / (double) TimeUnit.SECONDS.toMillis(1), this.events.dropped());
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -1,8 +1,10 @@
 package io.masticlane.gateway;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.operator.MetricsText;
+import io.masticlane.placement.Placement;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -35,6 +37,18 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
+	private final Counter regions = Counter.builder()
+		.name("masticlane_gateway_region_choices_total")
+		.help("Attempts at backend servers by region and the reason for it.")
+		.labelNames("service", "region", "reason")
+		.register(this.registry);
+
+	private final Gauge regionShares = Gauge.builder()
+		.name("masticlane_gateway_own_region_share")
+		.help("The part of a service's objects that the region of the gateway serves itself.")
+		.labelNames("service")
+		.register(this.registry);
+
 	private final Counter storeCalls = Counter.builder()
 		.name("masticlane_gateway_store_calls_total")
 		.help("Calls to the store by outcome.")
@@ -61,6 +75,14 @@
 		this.attempts.labelValues(outcome).inc();
 	}
 
+	void sent(String service, Placement.Choice choice) {
+		this.regions.labelValues(service, choice.server().region(), choice.reason().name()).inc();
+	}
+
+	void ownShares(Map<String, Double> shares) {
+		shares.forEach((service, share) -> this.regionShares.labelValues(service).set(share));
+	}
+
 	void storeCall(boolean answered) {
 		this.storeCalls.labelValues(answered ? "answered" : "failed").inc();
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Traffic.java
@@ -10,6 +10,7 @@
 import io.masticlane.event.EventLog;
 import io.masticlane.fleet.GatewayFleet;
 import io.masticlane.placement.Placement;
+import io.masticlane.placement.RegionFlow;
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.quota.RateShares;
 import io.masticlane.setting.GatewaySettings;
@@ -41,6 +42,8 @@
 
 	private final Placement placement;
 
+	private final RegionFlow regionFlow = new RegionFlow();
+
 	private final AdmissionPolicy admission = new AdmissionPolicy(() -> ThreadLocalRandom.current().nextDouble());
 
 	private final RateShares shares = new RateShares();
@@ -138,6 +141,10 @@
 		return this.placement;
 	}
 
+	RegionFlow regionFlow() {
+		return this.regionFlow;
+	}
+
 	AdmissionPolicy admission() {
 		return this.admission;
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import io.masticlane.plan.PathRoute;
 
@@ -187,7 +188,8 @@
 			return Optional.empty();
 		}
 		String home = regionOf(request, byRegion);
-		Optional<Choice> best = best(request, byRegion.get(home), now);
+		Reason reason = home.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
+		Optional<Choice> best = best(request, byRegion.get(home), now).map((each) -> each.withReason(reason));
 		boolean full = best.isEmpty() || best.get().expectedMillis() > request.patienceMillis();
 		if (full && byRegion.size() > 1 && (best.isEmpty() || this.overflow >= 1)) {
 			List<ServerState> elsewhere = byRegion.entrySet()
@@ -198,7 +200,8 @@
 			Optional<Choice> other = best(request, elsewhere, now);
 			if (other.isPresent() && (best.isEmpty() || other.get().expectedMillis() < best.get().expectedMillis())) {
 				this.overflow--;
-				return other;
+				Reason left = best.isEmpty() ? Reason.NO_CANDIDATE : Reason.OVERFLOW;
+				return other.map((each) -> each.withReason(left));
 			}
 		}
 		return best;
@@ -224,6 +227,16 @@
 		return crowd != null && crowd.crowded();
 	}
 
+	/**
+	 * Returns the part of each service's objects that the gateway's region serves itself.
+	 * @return the shares by service
+	 */
+	public Map<String, Double> shares() {
+		return this.localShares.entrySet()
+			.stream()
+			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().share()));
+	}
+
 	private boolean inService(ServerState server) {
 		return !server.entry().leaving()
 				&& (this.evacuated.isEmpty() || !this.evacuated.contains(server.entry().dataCentre()));
@@ -266,7 +279,7 @@
 			.limit(RANKS)
 			.forEach((server) -> choices.add(new Choice(server, expected(request, server, choices.size(), now),
 					server.load(now) < server.entry().slots(), server.served(request.object(), WARM_NANOS, now),
-					queued(request, server, now) + times(request.route()).expected(true))));
+					queued(request, server, now) + times(request.route()).expected(true), Reason.OWN)));
 		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
 	}
 
@@ -368,8 +381,47 @@
 	 * @param free whether a slot is expected to be free
 	 * @param warm whether this gateway saw the server serve the object lately
 	 * @param warmMillis the expected time to the answer if the server knows the object
+	 * @param reason why the server's region was chosen
+	 */
+	public record Choice(ServerState server, double expectedMillis, boolean free, boolean warm, double warmMillis,
+			Reason reason) {
+
+		/**
+		 * Returns the choice with another reason.
+		 * @param other why the server's region was chosen
+		 * @return the choice with that reason
+		 */
+		public Choice withReason(Reason other) {
+			return new Choice(this.server, this.expectedMillis, this.free, this.warm, this.warmMillis, other);
+		}
+
+	}
+
+	/**
+	 * Why a region was chosen.
 	 */
-	public record Choice(ServerState server, double expectedMillis, boolean free, boolean warm, double warmMillis) {
+	public enum Reason {
+
+		/**
+		 * The gateway's own region serves the object.
+		 */
+		OWN,
+
+		/**
+		 * Another region serves the object.
+		 */
+		ASSIGNED,
+
+		/**
+		 * The region that serves the object is full.
+		 */
+		OVERFLOW,
+
+		/**
+		 * No server of the region that serves the object may get the request.
+		 */
+		NO_CANDIDATE
+
 	}
 
 }
