--- a/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
@@ -14,6 +14,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.DoubleConsumer;
+import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
 
 import io.masticlane.admission.AdmissionPolicy;
@@ -39,6 +42,10 @@
 
 	private static final double FAR_MILLIS = 35;
 
+	private static final long COLD_MILLIS = 3_000;
+
+	private static final double LARGEST_LAG_MILLIS = 1_200;
+
 	private final Random random;
 
 	private final List<Kind> kinds;
@@ -53,12 +60,18 @@
 
 	private final Map<Integer, Tally> tallies = new HashMap<>();
 
+	private final RegionShifts shifts = new RegionShifts();
+
+	private final Map<String, DoubleUnaryOperator> waves = new HashMap<>();
+
+	private final Map<String, String> services = new HashMap<>();
+
 	LoadModel(long seed, List<Kind> kinds, Map<String, Integer> serversByRegion, int slots, int gatewaysOfRegion) {
 		this.random = new Random(seed);
 		this.kinds = kinds;
 		this.admission = new AdmissionPolicy(this.random::nextDouble);
 		serversByRegion.forEach((region, count) -> IntStream.range(0, count)
-			.forEach((each) -> this.servers.add(new Server(region + "-" + each, region, slots))));
+			.forEach((each) -> this.servers.add(new Server(SERVICE, region + "-" + each, region, slots))));
 		serversByRegion.keySet()
 			.forEach((region) -> this.gateways.put(region,
 					IntStream.range(0, gatewaysOfRegion).mapToObj((each) -> gateway(region)).toList()));
@@ -82,6 +95,124 @@
 		return this.tallies;
 	}
 
+	/**
+	 * Adds a service before a load is played.
+	 * @param service the name of the service
+	 * @param serversByRegion the number of its servers in each region
+	 * @param slots the slots of each server
+	 * @param routes the kinds of requests that go to it
+	 */
+	void service(String service, Map<String, Integer> serversByRegion, int slots, List<String> routes) {
+		serversByRegion.forEach((region, count) -> IntStream.range(0, count)
+			.forEach((each) -> join(new Server(service, service + "-" + region + "-" + each, region, slots), -60_000,
+					0)));
+		this.gateways.values().forEach((fleet) -> fleet.forEach((placement) -> placement.update(0)));
+		routes.forEach((route) -> this.services.put(route, service));
+	}
+
+	/**
+	 * Multiplies the demand of a region.
+	 * @param region the name of the region
+	 * @param factor the factor at each second
+	 */
+	void wave(String region, DoubleUnaryOperator factor) {
+		this.waves.put(region, factor);
+	}
+
+	/**
+	 * Makes something happen during the load.
+	 * @param second when it happens
+	 * @param change what happens at that time, in milliseconds
+	 */
+	void at(double second, DoubleConsumer change) {
+		this.events.add(new Event(second * 1_000, change::accept));
+	}
+
+	/**
+	 * Adds cold servers to a region.
+	 * @param region the name of the region
+	 * @param count the number of servers
+	 * @param slots the slots of each server
+	 * @param now the present in milliseconds
+	 */
+	void join(String region, int count, int slots, double now) {
+		IntStream.range(0, count)
+			.forEach((each) -> join(new Server(SERVICE, region + "-new-" + this.servers.size(), region, slots), now,
+					COLD_MILLIS));
+	}
+
+	/**
+	 * Makes servers of a region leave; each gateway hears of it a little later.
+	 * @param region the name of the region
+	 * @param count the number of servers
+	 * @param now the present in milliseconds
+	 */
+	void leave(String region, int count, double now) {
+		this.servers.stream()
+			.filter((server) -> server.service.equals(SERVICE) && server.region.equals(region) && !server.leaving)
+			.limit(count)
+			.forEach((server) -> {
+				server.leaving = true;
+				everyPlacement(now, (placement, at) -> placement.server(SERVICE, server.id)
+					.ifPresent((state) -> state.entry(server.entry(0), nanos(at))));
+			});
+	}
+
+	/**
+	 * Empties a data centre, which here is a region's every second server, or ends that.
+	 * @param dataCentres the emptied data centres
+	 * @param now the present in milliseconds
+	 */
+	void evacuate(Set<String> dataCentres, double now) {
+		everyPlacement(now, (placement, at) -> placement.evacuated(dataCentres));
+	}
+
+	/**
+	 * Makes servers fail in the eyes of one gateway of each region.
+	 * @param region the region of the servers
+	 * @param failure what that gateway learns of each server, and when
+	 * @param now the present in milliseconds
+	 */
+	void misjudge(String region, BiConsumer<ServerState, Long> failure, double now) {
+		this.gateways.values()
+			.forEach((fleet) -> fleet.get(0)
+				.servers()
+				.stream()
+				.filter((state) -> state.region().equals(region))
+				.forEach((state) -> failure.accept(state, nanos(now))));
+	}
+
+	/**
+	 * Sends a kind of requests to another service.
+	 * @param route the name of the kind
+	 * @param service the name of the service
+	 */
+	void reroute(String route, String service) {
+		this.services.put(route, service);
+	}
+
+	/**
+	 * Replaces a gateway of a region by one that knows nothing yet.
+	 * @param region the name of the region
+	 * @param now the present in milliseconds
+	 */
+	void replaceGateway(String region, double now) {
+		List<Placement> fleet = new ArrayList<>(this.gateways.get(region));
+		Placement fresh = new Placement(region, 1.5, 5);
+		this.servers.forEach((server) -> fresh.add(new ServerState(server.entry(0), server.region, nanos(now))));
+		fresh.update(nanos(now));
+		fleet.set(0, fresh);
+		this.gateways.put(region, List.copyOf(fleet));
+	}
+
+	/**
+	 * Returns where requests ran.
+	 * @return the regions of the requests
+	 */
+	RegionShifts shifts() {
+		return this.shifts;
+	}
+
 	/**
 	 * Adds up what callers got in some seconds.
 	 * @param from the first second
@@ -98,11 +229,30 @@
 
 	private Placement gateway(String region) {
 		Placement placement = new Placement(region, 1.5, 5);
-		this.servers.forEach((server) -> placement.add(new ServerState(server.entry(), server.region, -nanos(60_000))));
+		this.servers
+			.forEach((server) -> placement.add(new ServerState(server.entry(0), server.region, -nanos(60_000))));
 		placement.update(0);
 		return placement;
 	}
 
+	private void join(Server server, double now, long coldMillis) {
+		this.servers.add(server);
+		everyPlacement(now,
+				(placement, at) -> placement.add(new ServerState(server.entry(coldMillis), server.region, nanos(at))));
+	}
+
+	private void everyPlacement(double now, BiConsumer<Placement, Double> change) {
+		this.gateways.values().forEach((fleet) -> fleet.forEach((placement) -> {
+			if (now < 0) {
+				change.accept(placement, now);
+			}
+			else {
+				this.events.add(new Event(now + this.random.nextDouble() * LARGEST_LAG_MILLIS,
+						(at) -> change.accept(placement, at)));
+			}
+		}));
+	}
+
 	private void every(double millis, int seconds, Task task) {
 		for (double at = 0; at < seconds * 1_000; at += millis) {
 			this.events.add(new Event(at, task));
@@ -111,7 +261,8 @@
 
 	private void arrive(Kind kind, String region, double now, java.util.function.IntToDoubleFunction factor,
 			int seconds) {
-		double rate = kind.perSecond() / this.gateways.size() * factor.applyAsDouble((int) (now / 1_000));
+		double rate = kind.perSecond() / this.gateways.size() * factor.applyAsDouble((int) (now / 1_000))
+				* this.waves.getOrDefault(region, (second) -> 1).applyAsDouble(now / 1_000);
 		double at = now - Math.log(1 - this.random.nextDouble()) / rate * 1_000;
 		if (at < seconds * 1_000) {
 			this.events.add(new Event(at, (present) -> {
@@ -126,9 +277,10 @@
 		List<Placement> fleet = this.gateways.get(ask.region());
 		Placement placement = fleet.get(this.random.nextInt(fleet.size()));
 		PathRoute route = ask.kind().route();
-		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, SERVICE, ask.object(),
+		String service = this.services.getOrDefault(ask.kind().name(), SERVICE);
+		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, service, ask.object(),
 				Set.of(), Set.of(), route.objectiveMillis(), 8, fleet.size()), nanos(now));
-		boolean crowded = choice.isPresent() && placement.crowded(SERVICE, choice.get().server().region());
+		boolean crowded = choice.isPresent() && placement.crowded(service, choice.get().server().region());
 		double latest = this.admission.latest(route.objectiveMillis(), route.timeoutMillis(), route.priority(),
 				crowded);
 		double expected = choice.map((each) -> crowded ? each.warmMillis() : each.expectedMillis()).orElse(0.0);
@@ -244,6 +396,8 @@
 
 	private final class Server {
 
+		private final String service;
+
 		private final String id;
 
 		private final String region;
@@ -261,15 +415,22 @@
 
 		private int running;
 
-		private Server(String id, String region, int slots) {
+		private boolean leaving;
+
+		private Server(String service, String id, String region, int slots) {
+			this.service = service;
 			this.id = id;
 			this.region = region;
 			this.slots = slots;
 		}
 
-		private RegisteredServer entry() {
-			return new RegisteredServer(this.id, SERVICE, InetSocketAddress.createUnresolved("10.0.0.1", 80),
-					this.region, this.slots, false, 0, 1, 1);
+		private RegisteredServer entry(long coldMillis) {
+			return new RegisteredServer(this.id, this.service, InetSocketAddress.createUnresolved("10.0.0.1", 80),
+					dataCentre(), this.slots, this.leaving, coldMillis, 1, 1);
+		}
+
+		private String dataCentre() {
+			return this.region + "-" + (LoadModel.this.servers.indexOf(this) % 2);
 		}
 
 		private void receive(Work work, double now) {
@@ -286,6 +447,7 @@
 
 		private void run(Work work, double now) {
 			this.running++;
+			LoadModel.this.shifts.ran(work.ask().region(), work.ask().object(), this.region, now);
 			boolean warm = this.kept.containsKey(work.ask().object());
 			double spread = Math.exp(0.15 * LoadModel.this.random.nextGaussian());
 			double millis = work.ask().kind().workMillis() * spread * (warm ? WARM_PART : 1);
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
@@ -0,0 +1,106 @@
+package io.masticlane.placement;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.LongStream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+public class RegionShiftTests {
+
+	private static final double CAP = 0.15;
+
+	private static final int SECONDS = 32;
+
+	private static final List<LoadModel.Kind> KINDS = List.of(LoadModel.Kind.of("read", 472, 116, 880, 600, 1_200, 2),
+			LoadModel.Kind.of("post", 180, 48, 1_160, 800, 1_500, 1),
+			LoadModel.Kind.of("release", 154, 48, 600, 500, 1_500, 0));
+
+	private static final long SEEDS = Long.getLong("shift.seeds", 3);
+
+	@DataProvider
+	public Object[][] days() {
+		return Arrays.stream(Day.values())
+			.flatMap((day) -> LongStream.rangeClosed(1, SEEDS).mapToObj((seed) -> new Object[] { day, seed }))
+			.toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "days")
+	public void noChangeOfTrafficOrOfServersMovesMuchOfARegionAtOnce(Day day, long seed) {
+		LoadModel model = new LoadModel(seed, KINDS, Map.of("west", 12, "east", 14, "north", 2), 18, 2);
+		model.service("payout", Map.of("west", 4, "east", 6, "north", 2), 6, List.of("release"));
+		model.wave("west", (second) -> 1 + 0.55 * Math.sin(2 * Math.PI * second / 36 + 0.4));
+		model.wave("east", (second) -> 1 + 0.55 * Math.sin(2 * Math.PI * second / 36 + 0.73));
+		model.wave("north", (second) -> 1 + 0.55 * Math.sin(2 * Math.PI * second / 36 + 1.1));
+		day.plan.accept(model);
+		model.play(SECONDS, (second) -> 1);
+		RegionShifts.Shift largest = model.shifts().largest(0, SECONDS);
+		assertTrue(largest.part() <= CAP, largest + " with seed " + seed);
+	}
+
+	private enum Day {
+
+		WAVES((model) -> model.at(0, (now) -> {
+		})),
+
+		BURST((model) -> model.wave("north", (second) -> (second >= 8 && second < 13) ? 3 : 1)),
+
+		BURST_OF_ALL((model) -> {
+			model.wave("west", (second) -> (second >= 8 && second < 13) ? 2.5 : 1);
+			model.wave("east", (second) -> (second >= 8 && second < 13) ? 2.5 : 1);
+			model.wave("north", (second) -> (second >= 8 && second < 13) ? 2.5 : 1);
+		}),
+
+		CALLERS_MOVE((model) -> {
+			model.wave("north", (second) -> (second >= 9 && second < 16) ? 1.8 : 1);
+			model.wave("east", (second) -> (second >= 9 && second < 16) ? 0.2 : 1);
+		}),
+
+		SERVERS_JOIN_EAST((model) -> model.at(8, (now) -> model.join("east", 8, 18, now))),
+
+		SERVERS_JOIN_WEST((model) -> model.at(8, (now) -> model.join("west", 8, 18, now))),
+
+		SERVERS_JOIN_NORTH((model) -> model.at(8, (now) -> model.join("north", 2, 18, now))),
+
+		SERVERS_LEAVE_EAST((model) -> model.at(8, (now) -> model.leave("east", 5, now))),
+
+		SERVERS_LEAVE_WEST((model) -> model.at(8, (now) -> model.leave("west", 5, now))),
+
+		SERVER_LEAVES_NORTH((model) -> model.at(8, (now) -> model.leave("north", 1, now))),
+
+		NORTH_MISJUDGED(
+				(model) -> model.at(8, (now) -> model.misjudge("north", (state, at) -> state.unreachable(at), now))),
+
+		EAST_MISJUDGED(
+				(model) -> model.at(8, (now) -> model.misjudge("east", (state, at) -> state.unreachable(at), now))),
+
+		EAST_EVACUATED((model) -> {
+			model.at(8, (now) -> model.evacuate(Set.of("east-0"), now));
+			model.at(18, (now) -> model.evacuate(Set.of(), now));
+		}),
+
+		NORTH_COLD(
+				(model) -> model.at(8, (now) -> model.misjudge("north", (state, at) -> state.coldFor(3_000, at), now))),
+
+		ROUTE_CHANGES_SERVICE((model) -> {
+			model.at(8, (now) -> model.reroute("release", "ledger"));
+			model.at(18, (now) -> model.reroute("release", "payout"));
+		}),
+
+		GATEWAY_REPLACED((model) -> model.at(16, (now) -> model.replaceGateway("north", now)));
+
+		private final Consumer<LoadModel> plan;
+
+		Day(Consumer<LoadModel> plan) {
+			this.plan = plan;
+		}
+
+	}
+
+}
