Follow the slots until there is traffic, instead of keeping the share of the first servers

Cause: LocalShare took its value from the servers known at its first tick and kept it, up to 2% a second under load. Servers register within some seconds in any order, so each host began with a value of chance. Class of fault: state that is set once from a partial view. Now the share follows the slots while no region has traffic; later changes of the slots move it within the same 2% a second.

--- a/masticlane/src/main/java/io/masticlane/placement/LocalShare.java
+++ b/masticlane/src/main/java/io/masticlane/placement/LocalShare.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The part of a service's objects that a region serves itself. It starts by the region's
- * part of the slots and follows the load of the region's servers in small steps, so that
- * few requests change their region at once.
+ * The part of a service's objects that a region serves itself. Until there is traffic it
+ * is the region's part of the slots; then it follows the slots and the load of the
+ * region's servers in small steps, so that few requests change their region at once.
  */
 public final class LocalShare {
 
@@ -37,6 +37,15 @@
 
 	private double share = -1;
 
+	private double slotsPart;
+
+	/**
+	 * What is left to move after the region's part of the slots changed.
+	 */
+	private double pending;
+
+	private boolean settled;
+
 	private long updatedAt;
 
 	/**
@@ -45,21 +54,30 @@
 	 * @param allSlots the slots of all servers
 	 * @param regions the number of regions
 	 * @param load the load of the region's servers, where one is full
+	 * @param busiest the load of the busiest region
 	 * @param now the present in nanoseconds
 	 */
-	public void update(double localSlots, double allSlots, int regions, double load, long now) {
-		if (this.share < 0) {
-			this.share = Math.min(1, INITIAL_HEADROOM * regions * localSlots / Math.max(1, allSlots));
-			this.updatedAt = now;
-			return;
-		}
+	public void update(double localSlots, double allSlots, int regions, double load, double busiest, long now) {
+		double formerPart = this.slotsPart;
+		this.slotsPart = Math.min(1, INITIAL_HEADROOM * regions * localSlots / Math.max(1, allSlots));
 		double step = STEP_PER_SECOND * (now - this.updatedAt) / TimeUnit.SECONDS.toNanos(1);
 		this.updatedAt = now;
-		if (load > HIGH_LOAD) {
-			this.share = Math.max(0, this.share - step);
+		if (!this.settled) {
+			this.share = this.slotsPart;
+			this.settled = busiest > IDLE_LOAD;
+			return;
+		}
+		this.pending += this.slotsPart - formerPart;
+		if (this.pending != 0) {
+			double moved = Math.max(-step, Math.min(step, this.pending));
+			this.pending -= moved;
+			move(moved);
+		}
+		else if (load > HIGH_LOAD) {
+			move(-step);
 		}
 		else if (load < LOW_LOAD && load > IDLE_LOAD) {
-			this.share = Math.min(1, this.share + step);
+			move(step);
 		}
 	}
 
@@ -80,4 +98,8 @@
 		return Math.max(0, this.share);
 	}
 
+	private void move(double change) {
+		this.share = Math.max(0, Math.min(1, this.share + change));
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -168,7 +168,7 @@
 			if (!loads.isEmpty()) {
 				this.localShares.computeIfAbsent(service, (name) -> new LocalShare())
 					.update(local.slots(), loads.values().stream().mapToDouble(RegionLoad::slots).sum(), loads.size(),
-							local.ratio(), now);
+							local.ratio(), loads.values().stream().mapToDouble(RegionLoad::ratio).max().orElse(0), now);
 			}
 		});
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -44,6 +45,10 @@
 
 	private static final long COLD_MILLIS = 3_000;
 
+	private static final double LEAD_MILLIS = -11_000;
+
+	private static final double REGISTRATION_MILLIS = 3_500;
+
 	private static final double LARGEST_LAG_MILLIS = 1_200;
 
 	private final Random random;
@@ -66,6 +71,8 @@
 
 	private final Map<String, String> services = new HashMap<>();
 
+	private HostChoice hostOf = (now, host) -> host;
+
 	LoadModel(long seed, List<Kind> kinds, Map<String, Integer> serversByRegion, int slots, int gatewaysOfRegion) {
 		this.random = new Random(seed);
 		this.kinds = kinds;
@@ -110,6 +117,24 @@
 		routes.forEach((route) -> this.services.put(route, service));
 	}
 
+	/**
+	 * Lets every gateway start before the servers, which register in an order of chance.
+	 */
+	void startBeforeServers() {
+		this.gateways.replaceAll((region, fleet) -> fleet.stream().map((former) -> {
+			Placement fresh = new Placement(region, 1.5, 5);
+			List<Server> order = new ArrayList<>(this.servers);
+			Collections.shuffle(order, this.random);
+			double pause = REGISTRATION_MILLIS / order.size();
+			IntStream.range(0, order.size()).forEach((index) -> {
+				double at = LEAD_MILLIS + index * pause;
+				fresh.add(new ServerState(order.get(index).entry(0), order.get(index).region, nanos(at)));
+				fresh.update(nanos(at));
+			});
+			return fresh;
+		}).toList());
+	}
+
 	/**
 	 * Multiplies the demand of a region.
 	 * @param region the name of the region
@@ -191,6 +216,14 @@
 		this.services.put(route, service);
 	}
 
+	/**
+	 * Makes callers prefer a gateway of their region.
+	 * @param choice the gateway that callers use
+	 */
+	void callers(HostChoice choice) {
+		this.hostOf = choice;
+	}
+
 	/**
 	 * Replaces a gateway of a region by one that knows nothing yet.
 	 * @param region the name of the region
@@ -275,7 +308,7 @@
 
 	private void ask(Ask ask, double now) {
 		List<Placement> fleet = this.gateways.get(ask.region());
-		Placement placement = fleet.get(this.random.nextInt(fleet.size()));
+		Placement placement = fleet.get(this.hostOf.applyAsInt(now, this.random.nextInt(fleet.size())));
 		PathRoute route = ask.kind().route();
 		String service = this.services.getOrDefault(ask.kind().name(), SERVICE);
 		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, service, ask.object(),
@@ -318,6 +351,16 @@
 		return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
 	}
 
+	/**
+	 * The gateway that a caller uses, which may differ from the one drawn.
+	 */
+	@FunctionalInterface
+	interface HostChoice {
+
+		int applyAsInt(double millis, int drawn);
+
+	}
+
 	/**
 	 * Something that happens at a time.
 	 */
--- a/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
@@ -49,6 +49,13 @@
 		WAVES((model) -> model.at(0, (now) -> {
 		})),
 
+		GATEWAYS_START_FIRST(LoadModel::startBeforeServers),
+
+		CALLERS_CHANGE_THEIR_HOST((model) -> {
+			model.startBeforeServers();
+			model.callers((now, host) -> (now < 8_000) ? 0 : (now < 20_000) ? 1 : host);
+		}),
+
 		BURST((model) -> model.wave("north", (second) -> (second >= 8 && second < 13) ? 3 : 1)),
 
 		BURST_OF_ALL((model) -> {
