Choose an object's region by shares that move in small steps, not by the servers at hand

What callers saw: servers that join or leave in one region, or fail in the eyes of one gateway, moved a fifth to a third of another region's requests within two seconds (SHIFT), with no trouble near the callers. Cause (H1): only the part that a region serves itself was limited in speed. The other regions were ranked for each request by 'slots - 0.9 x mean' of the servers that the gateway would use at that moment, so a tenth more slots, or a few ejected servers, could double a region's weight at once. Class of fault: a control decision taken from momentary local state, with no limit on its speed. RegionShares holds both parts, moves each by at most 2% a second, and counts servers in service whether they are sound or not; soundness only decides within a region.

--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -78,7 +78,7 @@
 
 	private final Map<String, ServiceServers> services = new HashMap<>();
 
-	private final Map<String, LocalShare> localShares = new HashMap<>();
+	private final Map<String, RegionShares> regionShares = new HashMap<>();
 
 	private final Map<String, ObjectAssignment> assignments = new HashMap<>();
 
@@ -164,11 +164,8 @@
 			Map<String, RegionLoad> loads = servers.loads(this::inService, now);
 			loads.forEach((name, each) -> this.crowds.computeIfAbsent(service + "@" + name, (key) -> new Crowd())
 				.update(each.ratio()));
-			RegionLoad local = loads.getOrDefault(this.region, RegionLoad.none());
 			if (!loads.isEmpty()) {
-				this.localShares.computeIfAbsent(service, (name) -> new LocalShare())
-					.update(local.slots(), loads.values().stream().mapToDouble(RegionLoad::slots).sum(), loads.size(),
-							local.ratio(), loads.values().stream().mapToDouble(RegionLoad::ratio).max().orElse(0), now);
+				shares(service).update(loads, now);
 			}
 		});
 	}
@@ -181,21 +178,21 @@
 	 */
 	public Optional<Choice> choose(Request request, long now) {
 		this.overflow = Math.min(LARGEST_OVERFLOW, this.overflow + OVERFLOW_PER_REQUEST);
-		Map<String, List<ServerState>> byRegion = servers(request.service()).usable(
+		UsableServers servers = servers(request.service()).usable(
 				(server) -> inService(server) && allows(request, server), (server) -> !server.ejected(now),
 				1 - LARGEST_EJECTED_PART);
-		if (byRegion.isEmpty()) {
+		if (servers.isEmpty()) {
 			return Optional.empty();
 		}
-		String home = regionOf(request, byRegion);
+		String home = shares(request.service()).regionOf(request.object(), servers.regions());
 		Reason reason = home.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
-		Optional<Choice> best = best(request, byRegion.get(home), now).map((each) -> each.withReason(reason));
+		Optional<Choice> best = best(request, servers.sound(home), now).map((each) -> each.withReason(reason));
 		boolean full = best.isEmpty() || best.get().expectedMillis() > request.patienceMillis();
-		if (full && byRegion.size() > 1 && (best.isEmpty() || this.overflow >= 1)) {
-			List<ServerState> elsewhere = byRegion.entrySet()
+		if (full && (best.isEmpty() || this.overflow >= 1)) {
+			List<ServerState> elsewhere = servers.regions()
 				.stream()
-				.filter((entry) -> !entry.getKey().equals(home))
-				.map((entry) -> first(request, entry.getValue()))
+				.filter((name) -> !name.equals(home) && !servers.sound(name).isEmpty())
+				.map((name) -> first(request, servers.sound(name)))
 				.toList();
 			Optional<Choice> other = best(request, elsewhere, now);
 			if (other.isPresent() && (best.isEmpty() || other.get().expectedMillis() < best.get().expectedMillis())) {
@@ -232,9 +229,9 @@
 	 * @return the shares by service
 	 */
 	public Map<String, Double> shares() {
-		return this.localShares.entrySet()
+		return this.regionShares.entrySet()
 			.stream()
-			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().share()));
+			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().own()));
 	}
 
 	private boolean inService(ServerState server) {
@@ -251,20 +248,8 @@
 		return this.services.getOrDefault(service, NO_SERVERS);
 	}
 
-	private String regionOf(Request request, Map<String, List<ServerState>> byRegion) {
-		LocalShare share = this.localShares.get(request.service());
-		boolean local = byRegion.containsKey(this.region);
-		if (local && (byRegion.size() == 1 || share == null || share.holds(request.object()))) {
-			return this.region;
-		}
-		double even = byRegion.values().stream().mapToDouble(Placement::slots).sum() / byRegion.size();
-		return byRegion.entrySet()
-			.stream()
-			.filter((entry) -> byRegion.size() == 1 || !entry.getKey().equals(this.region))
-			.max(Comparator.comparingDouble((entry) -> Rendezvous.score(request.object(),
-					Rendezvous.hash(entry.getKey()), Math.max(1, slots(entry.getValue()) - even * 0.9))))
-			.orElseThrow()
-			.getKey();
+	private RegionShares shares(String service) {
+		return this.regionShares.computeIfAbsent(service, (name) -> new RegionShares(this.region));
 	}
 
 	private Optional<Choice> best(Request request, List<ServerState> servers, long now) {
@@ -334,10 +319,6 @@
 		return server.coldSends(now) < Math.floor(bound * COLD_USED / request.gatewaysOfRegion());
 	}
 
-	private static double slots(Collection<ServerState> servers) {
-		return servers.stream().mapToInt((each) -> each.entry().slots()).sum();
-	}
-
 	private record Ranked(double score, ServerState server) {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
@@ -75,40 +75,32 @@
 	 * @param allowed the servers that may get the request
 	 * @param healthy the servers that are healthy
 	 * @param smallestPart the part of the servers that must be healthy
-	 * @return the servers of each region that has any
+	 * @return the servers by region
 	 */
-	Map<String, List<ServerState>> usable(Predicate<ServerState> allowed, Predicate<ServerState> healthy,
-			double smallestPart) {
+	UsableServers usable(Predicate<ServerState> allowed, Predicate<ServerState> healthy, double smallestPart) {
+		Map<String, List<ServerState>> all = new HashMap<>();
 		Map<String, List<ServerState>> sound = new HashMap<>();
-		int allowedCount = 0;
+		int allCount = 0;
 		int soundCount = 0;
 		for (Map.Entry<String, List<ServerState>> region : this.regions.entrySet()) {
 			List<ServerState> members = new ArrayList<>(region.getValue().size());
+			List<ServerState> soundMembers = new ArrayList<>(region.getValue().size());
 			for (ServerState each : region.getValue()) {
 				if (allowed.test(each)) {
-					allowedCount++;
+					members.add(each);
 					if (healthy.test(each)) {
-						members.add(each);
+						soundMembers.add(each);
 					}
 				}
 			}
 			if (!members.isEmpty()) {
-				soundCount += members.size();
-				sound.put(region.getKey(), members);
+				allCount += members.size();
+				soundCount += soundMembers.size();
+				all.put(region.getKey(), members);
+				sound.put(region.getKey(), soundMembers);
 			}
 		}
-		return (soundCount == allowedCount || soundCount >= allowedCount * smallestPart) ? sound : every(allowed);
-	}
-
-	private Map<String, List<ServerState>> every(Predicate<ServerState> allowed) {
-		Map<String, List<ServerState>> found = new HashMap<>();
-		this.regions.forEach((region, members) -> {
-			List<ServerState> kept = members.stream().filter(allowed).toList();
-			if (!kept.isEmpty()) {
-				found.put(region, kept);
-			}
-		});
-		return found;
+		return new UsableServers(all, (soundCount >= allCount * smallestPart) ? sound : all);
 	}
 
 }
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
@@ -0,0 +1,112 @@
+package io.masticlane.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class RegionSharesTests {
+
+	private static final long CAP_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	@Test
+	public void theShareStartsByTheRegionsPartOfTheSlots() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(18, 252, 3, 0), 0);
+		assertTrue(share.own() > 0.2 && share.own() < 0.35, "share " + share.own());
+	}
+
+	@Test
+	public void aLoadThatJumpsMovesFewObjectsWithinTheWindowOfTheCap() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(100, 252, 3, 0.6), 0);
+		long before = held(share);
+		LongStream.rangeClosed(1, 8)
+			.forEach((step) -> share.update(loads(100, 252, 3, 5), step * CAP_WINDOW_NANOS / 8));
+		assertTrue(before - held(share) <= 0.08 * 10_000, "moved " + (before - held(share)));
+	}
+
+	@Test
+	public void aShareIsNotKeptFromTheFirstServersHeardOf() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(18, 36, 2, 0), 0);
+		share.update(loads(18, 252, 3, 0), TimeUnit.MILLISECONDS.toNanos(250));
+		assertTrue(share.own() > 0.2 && share.own() < 0.35, "share " + share.own());
+	}
+
+	@Test
+	public void serversThatJoinUnderTrafficMoveFewObjectsWithinTheWindowOfTheCap() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(36, 252, 3, 0.7), 0);
+		double before = share.own();
+		LongStream.rangeClosed(1, 8)
+			.forEach((step) -> share.update(loads(126, 342, 3, 0.7), step * CAP_WINDOW_NANOS / 8));
+		assertTrue(share.own() > before && share.own() - before <= 0.08, "moved " + (share.own() - before));
+	}
+
+	@Test
+	public void nothingIsLearntWithoutTraffic() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(18, 252, 3, 0), 0);
+		double before = share.own();
+		share.update(loads(18, 252, 3, 0), TimeUnit.SECONDS.toNanos(13));
+		assertEquals(share.own(), before);
+	}
+
+	@Test
+	public void anObjectThatIsServedByTheRegionStaysWhenTheShareGrows() {
+		RegionShares share = new RegionShares("own");
+		share.update(loads(50, 252, 3, 0.6), 0);
+		long[] held = LongStream.range(0, 1_000)
+			.map((object) -> Rendezvous.hash("o" + object))
+			.filter(share::servesItself)
+			.toArray();
+		share.update(loads(50, 252, 3, 0.3), TimeUnit.SECONDS.toNanos(5));
+		assertEquals(LongStream.of(held).filter(share::servesItself).count(), held.length);
+	}
+
+	@Test
+	public void serversThatJoinElsewhereMoveFewObjectsBetweenTheOtherRegions() {
+		RegionShares shares = new RegionShares("north");
+		shares.update(Map.of("north", new RegionLoad(9, 18), "west", new RegionLoad(50, 108), "east",
+				new RegionLoad(60, 126)), 0);
+		Map<String, Double> before = shares.others();
+		LongStream.rangeClosed(1, 8)
+			.forEach((step) -> shares.update(Map.of("north", new RegionLoad(9, 18), "west", new RegionLoad(50, 108),
+					"east", new RegionLoad(60, 252)), step * CAP_WINDOW_NANOS / 8));
+		double moved = shares.others().get("east") - before.get("east");
+		assertTrue(moved > 0 && moved <= 0.05, "moved " + moved);
+	}
+
+	@Test
+	public void theOtherRegionsSettleByTheirSpareSlots() {
+		RegionShares shares = new RegionShares("north");
+		LongStream.range(0, 200)
+			.forEach(
+					(step) -> shares.update(
+							Map.of("north", new RegionLoad(9, 18), "west",
+									new RegionLoad(50, 108 + ((step > 10) ? 90 : 0)), "east", new RegionLoad(60, 126)),
+							step * CAP_WINDOW_NANOS / 8));
+		assertTrue(shares.others().get("west") > 0.6, shares.others().toString());
+	}
+
+	private static Map<String, RegionLoad> loads(double own, double all, int regions, double load) {
+		Map<String, RegionLoad> loads = new HashMap<>();
+		loads.put("own", new RegionLoad(load * own, own));
+		double others = (all - own) / (regions - 1);
+		IntStream.range(1, regions)
+			.forEach((each) -> loads.put("other-" + each, new RegionLoad(load * others, others)));
+		return loads;
+	}
+
+	private static long held(RegionShares share) {
+		return IntStream.range(0, 10_000).filter((object) -> share.servesItself(Rendezvous.hash("o" + object))).count();
+	}
+
+}
--- a/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
@@ -49,10 +49,10 @@
 		few.add(server(1, "r1"));
 		few.add(server(2, "r2"));
 		few.add(server(2, "r2"));
-		assertEquals(few.usable((each) -> true, (each) -> true, MOST).get("r2").size(), 1);
+		assertEquals(few.usable((each) -> true, (each) -> true, MOST).sound("r2").size(), 1);
 		few.remove("s-2");
 		few.remove("s-2");
-		assertEquals(few.usable((each) -> true, (each) -> true, MOST).keySet(), Set.of("r1"));
+		assertEquals(few.usable((each) -> true, (each) -> true, MOST).regions(), Set.of("r1"));
 		assertEquals(few.loads((each) -> true, NOW), Map.of("r1", new RegionLoad(0, 6)));
 		assertEquals(few.loads((each) -> false, NOW), Map.of());
 	}
@@ -86,15 +86,25 @@
 		assertEquals(looks.get(), 420);
 	}
 
+	@Test
+	public void aRegionCountsThoughItsServersAreUnhealthy() {
+		ServiceServers few = new ServiceServers();
+		IntStream.range(0, 6).forEach((index) -> few.add(server(index, "r" + index % 3)));
+		UsableServers usable = few.usable((each) -> true, (each) -> !each.region().equals("r1"), MOST);
+		assertEquals(usable.regions(), Set.of("r0", "r1", "r2"));
+		assertTrue(usable.sound("r1").isEmpty());
+		assertEquals(usable.all("r1").size(), 2);
+	}
+
 	private static long processorNanos() {
 		return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 	}
 
 	private Set<String> ids(Predicate<ServerState> healthy) {
-		return this.servers.usable((each) -> true, healthy, MOST)
-			.values()
+		UsableServers usable = this.servers.usable((each) -> true, healthy, MOST);
+		return usable.regions()
 			.stream()
-			.flatMap(List::stream)
+			.flatMap((region) -> usable.sound(region).stream())
 			.map((each) -> each.entry().id())
 			.collect(Collectors.toSet());
 	}
