Leave a region at once only for servers that are lost, not for failing ones

Three lost answers in a row, or a connection that a crowded server turned away, were enough. Class of fault: weak evidence used as proof. Now failing servers of a region count as full: part of the requests leaves within the limit on overflow, the rest still goes to them. Servers that cannot be reached are still left at once, but one that answered within 300 ms, or answers a request from before, was not away. A server whose address another one has (421) is gone in any case. New: aRegionWhoseServersFailKeepsMostOfItsObjects, three of ServerStateTests.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -241,10 +241,11 @@
 		if (told.notRun()) {
 			boolean misdirected = answer.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 			if (misdirected) {
-				eject(server, "another server has its address");
+				server.gone(now);
+				this.events.ejected(server, "another server has its address");
 			}
 			else if (!full) {
-				server.answered(this.wanted.object(), false, now);
+				server.answered(this.wanted.object(), false, this.sentAt, now);
 			}
 			this.events.attemptFailed(server, this.tried.size(), "not_run", answer.status().toString());
 			this.traffic.metrics().attempt("not_run");
@@ -262,7 +263,7 @@
 			lost("untrusted_answer");
 			return;
 		}
-		server.answered(this.wanted.object(), success || answer.status().code() < UNPROCESSABLE, now);
+		server.answered(this.wanted.object(), success || answer.status().code() < UNPROCESSABLE, this.sentAt, now);
 		if (success && this.choice.free()) {
 			this.traffic.placement()
 				.times(this.route)
@@ -304,7 +305,8 @@
 		this.traffic.metrics().attempt(failure.name());
 		this.events.attemptFailed(server, this.tried.size(), failure.name(), detail);
 		if (failure == AnswerListener.Failure.NOT_SENT) {
-			eject(server, detail);
+			server.unreachable(now);
+			this.events.ejected(server, detail);
 			this.traffic.servers().forget(server.entry().address());
 			if (!this.finished) {
 				again("unreachable", this.connectTries < CONNECT_TRIES);
@@ -434,11 +436,6 @@
 		}
 	}
 
-	private void eject(ServerState server, String reason) {
-		server.unreachable(System.nanoTime());
-		this.events.ejected(server, reason);
-	}
-
 	private long left() {
 		long callers = this.described.timeoutMillis() - WAY_BACK_MILLIS;
 		long routes = (this.route.timeoutMillis() > 0) ? this.route.timeoutMillis() : Long.MAX_VALUE;
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -186,8 +186,10 @@
 		}
 		String home = shares(request.service()).regionOf(request.object(), servers.regions());
 		Reason reason = home.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
-		Optional<Choice> best = best(request, servers.sound(home), now).map((each) -> each.withReason(reason));
-		boolean full = best.isEmpty() || best.get().expectedMillis() > request.patienceMillis();
+		Optional<Choice> sound = best(request, servers.sound(home), now);
+		Optional<Choice> best = sound.or(() -> best(request, warm(servers.all(home), now), now))
+			.map((each) -> each.withReason(reason));
+		boolean full = sound.isEmpty() || sound.get().expectedMillis() > request.patienceMillis();
 		if (full && (best.isEmpty() || this.overflow >= 1)) {
 			List<ServerState> elsewhere = servers.regions()
 				.stream()
@@ -195,7 +197,7 @@
 				.map((name) -> first(request, servers.sound(name)))
 				.toList();
 			Optional<Choice> other = best(request, elsewhere, now);
-			if (other.isPresent() && (best.isEmpty() || other.get().expectedMillis() < best.get().expectedMillis())) {
+			if (other.isPresent() && (sound.isEmpty() || other.get().expectedMillis() < sound.get().expectedMillis())) {
 				this.overflow--;
 				Reason left = best.isEmpty() ? Reason.NO_CANDIDATE : Reason.OVERFLOW;
 				return other.map((each) -> each.withReason(left));
@@ -268,6 +270,10 @@
 		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
 	}
 
+	private static List<ServerState> warm(List<ServerState> servers, long now) {
+		return servers.stream().filter((each) -> !each.cold(now)).toList();
+	}
+
 	private List<ServerState> assigned(Request request, List<ServerState> ranked, long now) {
 		boolean own = !ranked.isEmpty() && ranked.get(0).region().equals(this.region);
 		if (!own || !request.route().sticky() || !request.excluded().isEmpty()) {
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -50,6 +50,12 @@
 	 */
 	private static final long UNREACHED_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+	/**
+	 * How long after an answer a failed connection tells of a crowded server rather than
+	 * of a lost one, in nanoseconds; no server starts again within it.
+	 */
+	private static final long ALIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	private static final double FAILURE_WEIGHT = 0.15;
 
 	/**
@@ -187,11 +193,16 @@
 	 * Records an answer of the server's own making.
 	 * @param object the hash of the object
 	 * @param success whether the request was served
+	 * @param sentAt the time at which the request was sent, in nanoseconds
 	 * @param now the present in nanoseconds
 	 */
-	public void answered(long object, boolean success, long now) {
+	public void answered(long object, boolean success, long sentAt, long now) {
 		this.answered = true;
 		this.answeredAt = now;
+		if (this.unreached && sentAt - this.unreachedAt < 0) {
+			this.unreached = false;
+			this.ejected = false;
+		}
 		this.failuresInRow = 0;
 		this.failureRatio += FAILURE_WEIGHT * ((success ? 0 : 1) - this.failureRatio);
 		if (success) {
@@ -231,11 +242,26 @@
 	}
 
 	/**
-	 * Records that the server could not be reached, or that another one has its address.
-	 * When it comes back it may be cold, which only an entry written since can tell.
+	 * Records that the server could not be reached. One that has just answered turns
+	 * connections away for load.
 	 * @param now the present in nanoseconds
 	 */
 	public void unreachable(long now) {
+		if (this.answered && now - this.answeredAt < ALIVE_NANOS) {
+			failed(now);
+		}
+		else {
+			gone(now);
+		}
+	}
+
+	/**
+	 * Records that the server is not at its address any more. When it comes back it may
+	 * be cold, which only an entry written since can tell; the answer to a request from
+	 * before tells that it has not been away.
+	 * @param now the present in nanoseconds
+	 */
+	public void gone(long now) {
 		this.unreached = true;
 		this.unreachedAt = now;
 		eject(now);
--- a/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
@@ -517,7 +517,7 @@
 				state.ended();
 				state.reported(load, nanos(present));
 				if (done) {
-					state.answered(work.ask().object(), true, nanos(present));
+					state.answered(work.ask().object(), true, nanos(work.sentAt()), nanos(present));
 					if (work.choice().free()) {
 						work.placement()
 							.times(work.ask().kind().route())
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -90,6 +90,28 @@
 		assertTrue(sent > 0 && sent * 2 <= 8.1 * 1.5 + 5, "sent by one of two gateways: " + sent);
 	}
 
+	@Test
+	public void aRegionWhoseServersFailKeepsMostOfItsObjects() {
+		Placement placement = placement("north", 12, 2);
+		List<Integer> own = IntStream.range(0, 1_000)
+			.filter((object) -> chosen(placement, object, Set.of()).startsWith("north"))
+			.boxed()
+			.toList();
+		IntStream.range(0, 2)
+			.mapToObj((each) -> placement.server("s", "north-" + each).orElseThrow())
+			.forEach((server) -> IntStream.range(0, 3).forEach((failure) -> server.failed(LATER)));
+		long left = own.stream().filter((object) -> !chosen(placement, object, Set.of()).startsWith("north")).count();
+		assertTrue(left > 0 && left <= own.size() * 0.1, "left " + left + " of " + own.size());
+	}
+
+	@Test
+	public void aRegionWhoseServersAreLostIsLeftAtOnce() {
+		Placement placement = placement("north", 12, 2);
+		IntStream.range(0, 2)
+			.forEach((each) -> placement.server("s", "north-" + each).orElseThrow().unreachable(LATER));
+		IntStream.range(0, 200).forEach((object) -> assertTrue(chosen(placement, object, Set.of()).startsWith("west")));
+	}
+
 	@Test
 	public void aFullServerSharesItsObjectsWithTheNextRank() {
 		Placement placement = placement("west", 3, 0);
--- a/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
 import org.testng.annotations.DataProvider;
@@ -81,11 +82,14 @@
 
 		SERVER_LEAVES_NORTH((model) -> model.at(8, (now) -> model.leave("north", 1, now))),
 
-		NORTH_MISJUDGED(
-				(model) -> model.at(8, (now) -> model.misjudge("north", (state, at) -> state.unreachable(at), now))),
+		NORTH_SEEMS_TO_FAIL((model) -> model.at(8, (now) -> model.misjudge("north", Day::fail, now))),
 
-		EAST_MISJUDGED(
-				(model) -> model.at(8, (now) -> model.misjudge("east", (state, at) -> state.unreachable(at), now))),
+		EAST_SEEMS_TO_FAIL((model) -> model.at(8, (now) -> model.misjudge("east", Day::fail, now))),
+
+		NORTH_SEEMS_UNREACHABLE(
+				(model) -> model.at(8, (now) -> model.misjudge("north", ServerState::unreachable, now))),
+
+		EAST_SEEMS_UNREACHABLE((model) -> model.at(8, (now) -> model.misjudge("east", ServerState::unreachable, now))),
 
 		EAST_EVACUATED((model) -> {
 			model.at(8, (now) -> model.evacuate(Set.of("east-0"), now));
@@ -102,12 +106,18 @@
 
 		GATEWAY_REPLACED((model) -> model.at(16, (now) -> model.replaceGateway("north", now)));
 
+		private static final int FAILURES = 3;
+
 		private final Consumer<LoadModel> plan;
 
 		Day(Consumer<LoadModel> plan) {
 			this.plan = plan;
 		}
 
+		private static void fail(ServerState server, long now) {
+			IntStream.range(0, FAILURES).forEach((each) -> server.failed(now));
+		}
+
 	}
 
 }
--- a/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
@@ -45,13 +45,13 @@
 
 	@Test
 	public void aServerThatFailsHalfOfItsRequestsIsLeftOut() {
-		IntStream.range(0, 20).forEach((request) -> this.server.answered(5, request % 2 == 0, 0));
+		IntStream.range(0, 20).forEach((request) -> this.server.answered(5, request % 2 == 0, 0, 0));
 		assertTrue(this.server.ejected(1));
 	}
 
 	@Test
 	public void aSlowServerThatAnswersOthersIsNotTakenForDead() {
-		this.server.answered(5, true, 10);
+		this.server.answered(5, true, 5, 10);
 		IntStream.range(0, 5).forEach((request) -> this.server.silent(1, 20));
 		assertFalse(this.server.ejected(21));
 		IntStream.range(0, 3).forEach((request) -> this.server.silent(11, 20));
@@ -71,9 +71,38 @@
 		assertFalse(this.server.cold(TimeUnit.SECONDS.toNanos(3)));
 	}
 
+	@Test
+	public void aServerThatHasJustAnsweredIsCrowdedAndNotLost() {
+		this.server.answered(5, true, 0, TimeUnit.MILLISECONDS.toNanos(100));
+		this.server.unreachable(TimeUnit.MILLISECONDS.toNanos(200));
+		assertFalse(this.server.ejected(TimeUnit.MILLISECONDS.toNanos(201)));
+		assertFalse(this.server.cold(TimeUnit.MILLISECONDS.toNanos(201)));
+		this.server.unreachable(TimeUnit.MILLISECONDS.toNanos(900));
+		assertTrue(this.server.ejected(TimeUnit.MILLISECONDS.toNanos(901)));
+		assertTrue(this.server.cold(TimeUnit.MILLISECONDS.toNanos(901)));
+	}
+
+	@Test
+	public void anAnswerToARequestFromBeforeShowsThatAServerWasNotAway() {
+		this.server.unreachable(20);
+		this.server.answered(5, true, 25, 30);
+		assertTrue(this.server.cold(31));
+		this.server.answered(5, true, 10, 40);
+		assertFalse(this.server.cold(41));
+		assertFalse(this.server.ejected(41));
+	}
+
+	@Test
+	public void aServerWhoseAddressAnotherOneHasIsGoneEvenIfItHasJustAnswered() {
+		this.server.answered(5, true, 0, 10);
+		this.server.gone(20);
+		assertTrue(this.server.ejected(21));
+		assertTrue(this.server.cold(21));
+	}
+
 	@Test
 	public void aNewStartKnowsNoObject() {
-		this.server.answered(5, true, 0);
+		this.server.answered(5, true, 0, 0);
 		assertTrue(this.server.served(5, 10, 1));
 		this.server.entry(entry(2, 1_000), 1);
 		assertFalse(this.server.served(5, 10, 1));
