Let a route that changes its service change its regions slowly

A route now has a division of its own that follows its services by at most 2% a second, also when the weights of a split change; the hash of an object does not name the service any more. New: anObjectKeepsItsRegionWhenItsRouteChangesTheService, aRequestThatComesBeforeTheServersAreKnownFixesNoRegions.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -179,8 +179,7 @@
 		Set<String> homes = new Entitlement(this.route, this.organisation).homes();
 		long object = Rendezvous
 			.hash(this.route.sticky() ? this.described.object().orElse(this.described.id()) : this.described.id());
-		this.wanted = new Placement.Request(this.route, service, Rendezvous.hash(service) ^ object, homes, Set.of(),
-				this.route.objectiveMillis(),
+		this.wanted = new Placement.Request(this.route, service, object, homes, Set.of(), this.route.objectiveMillis(),
 				this.plan.service(service).map(ServicePlan::coldRequestsPerSecond).orElse(0.0),
 				this.traffic.gatewaysOfRegion());
 		this.timer = this.traffic.loop().schedule(this::timedOut, Math.max(1, left()), TimeUnit.MILLISECONDS);
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -66,6 +66,11 @@
 
 	private static final double LARGEST_OVERFLOW = 4;
 
+	/**
+	 * How long a route without requests keeps its division, in nanoseconds.
+	 */
+	private static final long FORGOTTEN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	private static final ServiceServers NO_SERVERS = new ServiceServers();
 
 	private static final Comparator<Ranked> HIGHEST_FIRST = (one, other) -> Double.compare(other.score(), one.score());
@@ -80,6 +85,8 @@
 
 	private final Map<String, RegionShares> regionShares = new HashMap<>();
 
+	private final Map<String, RouteDivision> routes = new HashMap<>();
+
 	private final Map<String, ObjectAssignment> assignments = new HashMap<>();
 
 	private final Map<String, Crowd> crowds = new HashMap<>();
@@ -90,6 +97,8 @@
 
 	private double overflow = LARGEST_OVERFLOW;
 
+	private long updatedAt;
+
 	/**
 	 * Creates a placement without servers.
 	 * @param region the region of the gateway
@@ -168,6 +177,10 @@
 				shares(service).update(loads, now);
 			}
 		});
+		double step = RegionShares.step(now - this.updatedAt);
+		this.updatedAt = now;
+		this.routes.values().removeIf((route) -> now - route.usedAt() > FORGOTTEN_NANOS);
+		this.routes.values().forEach((route) -> route.update(step));
 	}
 
 	/**
@@ -184,7 +197,9 @@
 		if (servers.isEmpty()) {
 			return Optional.empty();
 		}
-		String home = shares(request.service()).regionOf(request.object(), servers.regions());
+		String home = this.routes.computeIfAbsent(request.route().name(), (route) -> new RouteDivision())
+			.use(shares(request.service()), now)
+			.regionOf(request.object(), servers.regions());
 		Reason reason = home.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
 		Optional<Choice> sound = best(request, servers.sound(home), now);
 		Optional<Choice> best = sound.or(() -> best(request, warm(servers.all(home), now), now))
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
@@ -0,0 +1,111 @@
+package io.masticlane.placement;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * How objects are divided among regions for the callers of one region.
+ *
+ * @param region the region of the callers
+ * @param own the part of the objects that the region serves itself, from 0 to 1
+ * @param others how the rest is divided among the other regions, in parts of one
+ */
+record RegionDivision(String region, double own, Map<String, Double> others) {
+
+	private static final double SMALLEST_WEIGHT = 1e-6;
+
+	RegionDivision {
+		others = Map.copyOf(others);
+	}
+
+	/**
+	 * Returns a division by which a region serves every object itself.
+	 * @param region the region
+	 * @return the division
+	 */
+	static RegionDivision whole(String region) {
+		return new RegionDivision(region, 1, Map.of());
+	}
+
+	/**
+	 * Returns the mean of divisions for the callers of the same region.
+	 * @param divisions the divisions, at least one
+	 * @return their mean
+	 */
+	static RegionDivision mean(Collection<RegionDivision> divisions) {
+		Map<String, Double> others = new HashMap<>();
+		divisions.forEach((each) -> each.others.forEach((name, part) -> others.merge(name, part, Double::sum)));
+		double sum = others.values().stream().mapToDouble(Double::doubleValue).sum();
+		others.replaceAll((name, part) -> part / sum);
+		return new RegionDivision(divisions.iterator().next().region,
+				divisions.stream().mapToDouble(RegionDivision::own).average().orElse(1), others);
+	}
+
+	/**
+	 * Returns the region that serves an object.
+	 * @param object the hash of the object
+	 * @param available the regions that have servers for it, at least one
+	 * @return the name of the region
+	 */
+	String regionOf(long object, Set<String> available) {
+		if (available.contains(this.region) && (available.size() == 1 || servesItself(object))) {
+			return this.region;
+		}
+		return available.stream()
+			.filter((name) -> available.size() == 1 || !name.equals(this.region))
+			.max(Comparator.comparingDouble((name) -> Rendezvous.score(object, Rendezvous.hash(name),
+					Math.max(SMALLEST_WEIGHT, this.others.getOrDefault(name, 0.0)))))
+			.orElseThrow();
+	}
+
+	/**
+	 * Returns whether the region serves an object itself.
+	 * @param object the hash of the object
+	 * @return whether the region serves the object itself
+	 */
+	boolean servesItself(long object) {
+		return Rendezvous.fraction(object ^ 0x5bd1e995L) < this.own;
+	}
+
+	/**
+	 * Returns this division moved towards another one.
+	 * @param target the other division
+	 * @param step the largest part of the objects that moves between the region and the
+	 * others, and the largest part of the others' objects that moves among them
+	 * @return the division between both, or the other one if it is that near
+	 */
+	RegionDivision towards(RegionDivision target, double step) {
+		double change = Math.max(-step, Math.min(step, target.own - this.own));
+		return new RegionDivision(this.region, this.own + change, between(this.others, target.others, step));
+	}
+
+	/**
+	 * Returns this division with another part for the region itself.
+	 * @param part the part from 0 to 1
+	 * @return the division with that part
+	 */
+	RegionDivision withOwn(double part) {
+		return new RegionDivision(this.region, part, this.others);
+	}
+
+	private static Map<String, Double> between(Map<String, Double> from, Map<String, Double> to, double step) {
+		Set<String> names = new TreeSet<>(from.keySet());
+		names.addAll(to.keySet());
+		double distance = names.stream()
+			.mapToDouble((name) -> Math.max(0, to.getOrDefault(name, 0.0) - from.getOrDefault(name, 0.0)))
+			.sum();
+		if (distance <= step) {
+			return to;
+		}
+		return names.stream().collect(Collectors.toMap((name) -> name, (name) -> {
+			double former = from.getOrDefault(name, 0.0);
+			return former + (to.getOrDefault(name, 0.0) - former) * step / distance;
+		}));
+	}
+
+}
--- a/masticlane/src/main/java/io/masticlane/placement/RegionShares.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionShares.java
@@ -1,10 +1,7 @@
 package io.masticlane.placement;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -48,11 +45,9 @@
 	 */
 	private static final double OWN_NEED = 0.9;
 
-	private static final double SMALLEST_WEIGHT = 1e-6;
-
 	private final String region;
 
-	private double own = -1;
+	private RegionDivision division;
 
 	private double slotsPart;
 
@@ -61,64 +56,52 @@
 	 */
 	private double pending;
 
-	private Map<String, Double> others = Map.of();
-
 	private boolean settled;
 
 	private long updatedAt;
 
 	RegionShares(String region) {
 		this.region = region;
+		this.division = RegionDivision.whole(region);
+	}
+
+	/**
+	 * Returns the largest part that moves in a time.
+	 * @param nanos the time in nanoseconds
+	 * @return the part
+	 */
+	static double step(long nanos) {
+		return STEP_PER_SECOND * nanos / TimeUnit.SECONDS.toNanos(1);
 	}
 
 	/**
 	 * Updates the shares.
-	 * @param loads the load of each region's servers that are in service
+	 * @param loads the load of each region's servers that are in service, at least one
 	 * @param now the present in nanoseconds
 	 */
 	void update(Map<String, RegionLoad> loads, long now) {
-		double step = STEP_PER_SECOND * (now - this.updatedAt) / TimeUnit.SECONDS.toNanos(1);
+		double step = step(now - this.updatedAt);
 		this.updatedAt = now;
 		double slots = loads.values().stream().mapToDouble(RegionLoad::slots).sum();
 		RegionLoad local = loads.getOrDefault(this.region, RegionLoad.none());
 		double formerPart = this.slotsPart;
 		this.slotsPart = Math.min(1, INITIAL_HEADROOM * loads.size() * local.slots() / Math.max(1, slots));
-		Map<String, Double> spare = spare(loads, slots / Math.max(1, loads.size()));
+		RegionDivision bySlots = new RegionDivision(this.region, this.slotsPart, spare(loads, slots / loads.size()));
 		if (!this.settled) {
-			this.own = this.slotsPart;
-			this.others = spare;
+			this.division = bySlots;
 			this.settled = loads.values().stream().anyMatch((each) -> each.ratio() > IDLE_LOAD);
 			return;
 		}
 		this.pending += this.slotsPart - formerPart;
-		moveOwn(local.ratio(), step);
-		this.others = between(this.others, spare, step);
+		this.division = this.division.towards(bySlots.withOwn(own() + change(local.ratio(), step)), step);
 	}
 
 	/**
-	 * Returns the region that serves an object.
-	 * @param object the hash of the object
-	 * @param available the regions that have servers for it, at least one
-	 * @return the name of the region
+	 * Returns how the objects are divided among the regions.
+	 * @return the division
 	 */
-	String regionOf(long object, Set<String> available) {
-		if (available.contains(this.region) && (available.size() == 1 || servesItself(object))) {
-			return this.region;
-		}
-		return available.stream()
-			.filter((name) -> available.size() == 1 || !name.equals(this.region))
-			.max(Comparator.comparingDouble((name) -> Rendezvous.score(object, Rendezvous.hash(name),
-					Math.max(SMALLEST_WEIGHT, this.others.getOrDefault(name, 0.0)))))
-			.orElseThrow();
-	}
-
-	/**
-	 * Returns whether the region serves an object itself.
-	 * @param object the hash of the object
-	 * @return whether the region serves the object itself
-	 */
-	boolean servesItself(long object) {
-		return this.own < 0 || Rendezvous.fraction(object ^ 0x5bd1e995L) < this.own;
+	RegionDivision division() {
+		return this.division;
 	}
 
 	/**
@@ -126,18 +109,18 @@
 	 * @return the part from 0 to 1
 	 */
 	double own() {
-		return Math.max(0, this.own);
+		return this.division.own();
 	}
 
 	/**
-	 * Returns how the objects that the region does not serve itself are divided.
-	 * @return the parts of the other regions, which add up to one
+	 * Returns whether the shares move in small steps, as there was traffic.
+	 * @return whether the shares move in small steps
 	 */
-	Map<String, Double> others() {
-		return this.others;
+	boolean settled() {
+		return this.settled;
 	}
 
-	private void moveOwn(double load, double step) {
+	private double change(double load, double step) {
 		double change = 0;
 		if (this.pending != 0) {
 			change = Math.max(-step, Math.min(step, this.pending));
@@ -149,7 +132,7 @@
 		else if (load < LOW_LOAD && load > IDLE_LOAD) {
 			change = step;
 		}
-		this.own = Math.max(0, Math.min(1, this.own + change));
+		return Math.max(-own(), Math.min(1 - own(), change));
 	}
 
 	private Map<String, Double> spare(Map<String, RegionLoad> loads, double even) {
@@ -161,24 +144,7 @@
 		});
 		double sum = spare.values().stream().mapToDouble(Double::doubleValue).sum();
 		spare.replaceAll((name, slots) -> slots / sum);
-		return Map.copyOf(spare);
-	}
-
-	private static Map<String, Double> between(Map<String, Double> from, Map<String, Double> to, double step) {
-		Set<String> names = new TreeSet<>(from.keySet());
-		names.addAll(to.keySet());
-		double distance = names.stream()
-			.mapToDouble((name) -> Math.max(0, to.getOrDefault(name, 0.0) - from.getOrDefault(name, 0.0)))
-			.sum();
-		if (distance <= step) {
-			return to;
-		}
-		Map<String, Double> moved = new HashMap<>();
-		names.forEach((name) -> {
-			double former = from.getOrDefault(name, 0.0);
-			moved.put(name, former + (to.getOrDefault(name, 0.0) - former) * step / distance);
-		});
-		return Map.copyOf(moved);
+		return spare;
 	}
 
 }
--- /dev/null
+++ b/masticlane/src/main/java/io/masticlane/placement/RouteDivision.java
@@ -0,0 +1,56 @@
+package io.masticlane.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * How the objects of a route are divided among regions. Once one of its services has
+ * settled, it follows the services that the route's requests go to in small steps, so
+ * that a route that changes its service changes its regions slowly.
+ */
+final class RouteDivision {
+
+	private final List<RegionDivision> used = new ArrayList<>();
+
+	private RegionDivision present;
+
+	private boolean settled;
+
+	private long usedAt;
+
+	/**
+	 * Returns the division for a request.
+	 * @param service the shares of the request's service
+	 * @param now the present in nanoseconds
+	 * @return the division
+	 */
+	RegionDivision use(RegionShares service, long now) {
+		this.usedAt = now;
+		if (!this.settled) {
+			this.present = service.division();
+			this.settled = service.settled();
+		}
+		this.used.add(service.division());
+		return this.present;
+	}
+
+	/**
+	 * Follows the services of the requests since the last time.
+	 * @param step the largest part that may move
+	 */
+	void update(double step) {
+		if (!this.used.isEmpty()) {
+			this.present = this.present.towards(RegionDivision.mean(this.used), step);
+			this.used.clear();
+		}
+	}
+
+	/**
+	 * Returns the time of the last request.
+	 * @return the time in nanoseconds
+	 */
+	long usedAt() {
+		return this.usedAt;
+	}
+
+}
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import io.masticlane.plan.PathRoute;
 import io.masticlane.registry.RegisteredServer;
@@ -52,6 +53,46 @@
 		assertTrue(local > 200 && local < 600, "served by the region itself: " + local);
 	}
 
+	@Test
+	public void anObjectKeepsItsRegionWhenItsRouteChangesTheService() {
+		Placement placement = placement("north", 12, 2);
+		IntStream.range(0, 12)
+			.forEach((each) -> placement
+				.add(new ServerState(server("twin-" + each, "twin", "west", false, 0), "west", 0)));
+		IntStream.range(0, 12)
+			.forEach((each) -> placement
+				.add(new ServerState(server("north-twin-" + each, "twin", "north", false, 0), "north", 0)));
+		IntStream.range(0, 20)
+			.forEach((each) -> placement.server("s", "west-" + each % 12).orElseThrow().reported(9, LATER));
+		placement.update(LATER);
+		List<String> before = IntStream.range(0, 200).mapToObj((object) -> regionOf(placement, object, "s")).toList();
+		List<String> after = IntStream.range(0, 200).mapToObj((object) -> regionOf(placement, object, "twin")).toList();
+		assertEquals(after, before);
+		LongStream.rangeClosed(1, 400).forEach((tick) -> {
+			placement.update(LATER + tick * TimeUnit.MILLISECONDS.toNanos(250));
+			regionOf(placement, 1, "twin");
+		});
+		long own = IntStream.range(0, 200)
+			.filter((object) -> regionOf(placement, object, "twin").equals("north"))
+			.count();
+		assertTrue(own > 190, "served by the region itself: " + own);
+	}
+
+	@Test
+	public void aRequestThatComesBeforeTheServersAreKnownFixesNoRegions() {
+		Placement placement = new Placement("north", 1.5, 5);
+		placement.add(new ServerState(server("north-0", "north", false, 0), "north", 0));
+		regionOf(placement, 1, "s");
+		placement.update(LATER);
+		IntStream.range(0, 12)
+			.forEach((each) -> placement.add(new ServerState(server("west-" + each, "west", false, 0), "west", 0)));
+		placement.update(LATER + 1);
+		long own = IntStream.range(0, 1_000)
+			.filter((object) -> regionOf(placement, object, "s").equals("north"))
+			.count();
+		assertTrue(own < 300, "served by the region itself: " + own);
+	}
+
 	@Test
 	public void homesBindEvenWhereTheyHaveNoServer() {
 		Placement placement = placement("west", 4, 4);
@@ -143,14 +184,27 @@
 		return placement.choose(request(object, homes, Set.of()), LATER).orElseThrow().server().entry().id();
 	}
 
+	private String regionOf(Placement placement, int object, String service) {
+		return placement.choose(request(object, service, Set.of(), Set.of()), LATER).orElseThrow().server().region();
+	}
+
 	private Placement.Request request(int object, Set<String> homes, Set<String> excluded) {
-		return new Placement.Request(this.route, "s", Rendezvous.hash("object-" + object), homes, excluded, 600, 8.1,
-				2);
+		return request(object, "s", homes, excluded);
+	}
+
+	private Placement.Request request(int object, String service, Set<String> homes, Set<String> excluded) {
+		return new Placement.Request(this.route, service, Rendezvous.hash("object-" + object), homes, excluded, 600,
+				8.1, 2);
 	}
 
 	private static RegisteredServer server(String id, String dataCentre, boolean leaving, long coldMillis) {
-		return new RegisteredServer(id, "s", InetSocketAddress.createUnresolved("10.0.0.1", 80), dataCentre, 9, leaving,
-				coldMillis, 1, 1);
+		return server(id, "s", dataCentre, leaving, coldMillis);
+	}
+
+	private static RegisteredServer server(String id, String service, String dataCentre, boolean leaving,
+			long coldMillis) {
+		return new RegisteredServer(id, service, InetSocketAddress.createUnresolved("10.0.0.1", 80), dataCentre, 9,
+				leaving, coldMillis, 1, 1);
 	}
 
 }
--- a/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
@@ -65,10 +65,11 @@
 		share.update(loads(50, 252, 3, 0.6), 0);
 		long[] held = LongStream.range(0, 1_000)
 			.map((object) -> Rendezvous.hash("o" + object))
-			.filter(share::servesItself)
+			.filter((object) -> share.division().servesItself(object))
 			.toArray();
 		share.update(loads(50, 252, 3, 0.3), TimeUnit.SECONDS.toNanos(5));
-		assertEquals(LongStream.of(held).filter(share::servesItself).count(), held.length);
+		assertEquals(LongStream.of(held).filter((object) -> share.division().servesItself(object)).count(),
+				held.length);
 	}
 
 	@Test
@@ -76,11 +77,11 @@
 		RegionShares shares = new RegionShares("north");
 		shares.update(Map.of("north", new RegionLoad(9, 18), "west", new RegionLoad(50, 108), "east",
 				new RegionLoad(60, 126)), 0);
-		Map<String, Double> before = shares.others();
+		Map<String, Double> before = shares.division().others();
 		LongStream.rangeClosed(1, 8)
 			.forEach((step) -> shares.update(Map.of("north", new RegionLoad(9, 18), "west", new RegionLoad(50, 108),
 					"east", new RegionLoad(60, 252)), step * CAP_WINDOW_NANOS / 8));
-		double moved = shares.others().get("east") - before.get("east");
+		double moved = shares.division().others().get("east") - before.get("east");
 		assertTrue(moved > 0 && moved <= 0.05, "moved " + moved);
 	}
 
@@ -93,7 +94,7 @@
 							Map.of("north", new RegionLoad(9, 18), "west",
 									new RegionLoad(50, 108 + ((step > 10) ? 90 : 0)), "east", new RegionLoad(60, 126)),
 							step * CAP_WINDOW_NANOS / 8));
-		assertTrue(shares.others().get("west") > 0.6, shares.others().toString());
+		assertTrue(shares.division().others().get("west") > 0.6, shares.division().others().toString());
 	}
 
 	private static Map<String, RegionLoad> loads(double own, double all, int regions, double load) {
@@ -106,7 +107,9 @@
 	}
 
 	private static long held(RegionShares share) {
-		return IntStream.range(0, 10_000).filter((object) -> share.servesItself(Rendezvous.hash("o" + object))).count();
+		return IntStream.range(0, 10_000)
+			.filter((object) -> share.division().servesItself(Rendezvous.hash("o" + object)))
+			.count();
 	}
 
 }
--- a/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionShiftTests.java
@@ -104,6 +104,12 @@
 			model.at(18, (now) -> model.reroute("release", "payout"));
 		}),
 
+		MOST_REQUESTS_CHANGE_THEIR_SERVICE((model) -> {
+			model.service("twin", Map.of("west", 12, "east", 12, "north", 12), 18, List.of());
+			model.at(8, (now) -> model.reroute("read", "twin"));
+			model.at(20, (now) -> model.reroute("read", "ledger"));
+		}),
+
 		GATEWAY_REPLACED((model) -> model.at(16, (now) -> model.replaceGateway("north", now)));
 
 		private static final int FAILURES = 3;
