Move regions' shares by the cap's measure: slowly by load, faster by servers

A region's own share now learns by 1% a second and follows slots by 2%, the others' objects move among them by 3%, 3% of requests may overflow, and a region begins with its even part of the demand and not 1.3 times that: its servers know no object yet when the traffic begins.

--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -62,7 +62,7 @@
 	/**
 	 * The part of requests that may leave their objects' region at once when it is full.
 	 */
-	private static final double OVERFLOW_PER_REQUEST = 0.04;
+	private static final double OVERFLOW_PER_REQUEST = 0.03;
 
 	private static final double LARGEST_OVERFLOW = 4;
 
--- a/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
@@ -27,7 +27,7 @@
 	/**
 	 * The part of the others' objects that moves among them in a second.
 	 */
-	private static final double OTHERS_PER_SECOND = 0.02;
+	private static final double OTHERS_PER_SECOND = 0.03;
 
 	private static final double SMALLEST_WEIGHT = 1e-6;
 
--- a/masticlane/src/main/java/io/masticlane/placement/RegionShares.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionShares.java
@@ -33,12 +33,7 @@
 	/**
 	 * The part of the objects that the load of the region's servers moves in a second.
 	 */
-	private static final double LEARNT_PER_SECOND = 0.02;
-
-	/**
-	 * How much more than its even part of the demand a region is first given.
-	 */
-	private static final double INITIAL_HEADROOM = 1.3;
+	private static final double LEARNT_PER_SECOND = 0.01;
 
 	/**
 	 * The part of an average region's slots that a region needs for its own objects.
@@ -77,7 +72,7 @@
 		double slots = loads.values().stream().mapToDouble(RegionLoad::slots).sum();
 		RegionLoad local = loads.getOrDefault(this.region, RegionLoad.none());
 		double formerPart = this.slotsPart;
-		this.slotsPart = Math.min(1, INITIAL_HEADROOM * loads.size() * local.slots() / Math.max(1, slots));
+		this.slotsPart = Math.min(1, loads.size() * local.slots() / Math.max(1, slots));
 		RegionDivision bySlots = new RegionDivision(this.region, this.slotsPart, spare(loads, slots / loads.size()));
 		boolean idle = loads.values().stream().noneMatch((each) -> each.ratio() > IDLE_LOAD);
 		double mean = others.stream().mapToDouble(Double::doubleValue).average().orElse(this.slotsPart);
