Divide the requests of objects that lie between two regions

Each request now draws its place around that of its object, and a tenth of the objects are divided between two regions at any time; an object takes five seconds to move.

--- a/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CarriedRequest.java
@@ -177,9 +177,10 @@
 		String service = this.traffic.splits().service(this.route);
 		this.traffic.retries(service).requested();
 		Set<String> homes = new Entitlement(this.route, this.organisation).homes();
-		long object = Rendezvous
-			.hash(this.route.sticky() ? this.described.object().orElse(this.described.id()) : this.described.id());
-		this.wanted = new Placement.Request(this.route, service, object, homes, Set.of(), this.route.objectiveMillis(),
+		long draw = Rendezvous.hash(this.described.id());
+		long object = this.route.sticky() ? this.described.object().map(Rendezvous::hash).orElse(draw) : draw;
+		this.wanted = new Placement.Request(this.route, service, object, draw, homes, Set.of(),
+				this.route.objectiveMillis(),
 				this.plan.service(service).map(ServicePlan::coldRequestsPerSecond).orElse(0.0),
 				this.traffic.gatewaysOfRegion());
 		this.timer = this.traffic.loop().schedule(this::timedOut, Math.max(1, left()), TimeUnit.MILLISECONDS);
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -205,7 +205,7 @@
 		}
 		String home = this.routes.computeIfAbsent(request.route().name(), (route) -> new RouteDivision())
 			.use(shares(request.service()), now)
-			.regionOf(request.object(), servers.regions());
+			.regionOf(request.object(), request.draw(), servers.regions());
 		Reason reason = home.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
 		Optional<Choice> sound = best(request, servers.sound(home), now);
 		Optional<Choice> best = sound.or(() -> best(request, warm(servers.all(home), now), now))
@@ -357,14 +357,15 @@
 	 * @param route the route
 	 * @param service the service, one of the route's
 	 * @param object the hash of the object, or of the request if it names none
+	 * @param draw a hash that differs for each request
 	 * @param homes the regions that may serve the request, or none for all
 	 * @param excluded the servers that had the request already
 	 * @param patienceMillis the time within which an answer is worth most
 	 * @param coldRequestsPerSecond the rate that a cold server of the service bears
 	 * @param gatewaysOfRegion the gateways in the region, which share that rate
 	 */
-	public record Request(PathRoute route, String service, long object, Set<String> homes, Set<String> excluded,
-			double patienceMillis, double coldRequestsPerSecond, int gatewaysOfRegion) {
+	public record Request(PathRoute route, String service, long object, long draw, Set<String> homes,
+			Set<String> excluded, double patienceMillis, double coldRequestsPerSecond, int gatewaysOfRegion) {
 
 		public Request {
 			homes = Set.copyOf(homes);
@@ -377,7 +378,7 @@
 		 * @return the request without those servers
 		 */
 		public Request withExcluded(Set<String> tried) {
-			return new Request(this.route, this.service, this.object, this.homes, tried, this.patienceMillis,
+			return new Request(this.route, this.service, this.object, this.draw, this.homes, tried, this.patienceMillis,
 					this.coldRequestsPerSecond, this.gatewaysOfRegion);
 		}
 
--- a/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
@@ -29,6 +29,14 @@
 	 */
 	private static final double OTHERS_PER_SECOND = 0.03;
 
+	/**
+	 * The part of the objects whose requests are divided between two regions, so that an
+	 * object with many requests does not change its region at once.
+	 */
+	private static final double DIVIDED_PART = 0.1;
+
+	private static final long OWN_SALT = 0x5bd1e995L;
+
 	private static final double SMALLEST_WEIGHT = 1e-6;
 
 	RegionDivision {
@@ -59,29 +67,31 @@
 	}
 
 	/**
-	 * Returns the region that serves an object.
-	 * @param object the hash of the object
+	 * Returns the region that serves a request.
+	 * @param object the hash of the request's object
+	 * @param draw a hash that differs for each request
 	 * @param available the regions that have servers for it, at least one
 	 * @return the name of the region
 	 */
-	String regionOf(long object, Set<String> available) {
-		if (available.contains(this.region) && (available.size() == 1 || servesItself(object))) {
+	String regionOf(long object, long draw, Set<String> available) {
+		if (available.contains(this.region) && (available.size() == 1 || servesItself(object, draw))) {
 			return this.region;
 		}
 		return available.stream()
 			.filter((name) -> available.size() == 1 || !name.equals(this.region))
-			.max(Comparator.comparingDouble((name) -> Rendezvous.score(object, Rendezvous.hash(name),
-					Math.max(SMALLEST_WEIGHT, this.others.getOrDefault(name, 0.0)))))
+			.max(Comparator.comparingDouble((name) -> score(object, draw, name)))
 			.orElseThrow();
 	}
 
 	/**
-	 * Returns whether the region serves an object itself.
-	 * @param object the hash of the object
-	 * @return whether the region serves the object itself
+	 * Returns whether the region serves a request itself.
+	 * @param object the hash of the request's object
+	 * @param draw a hash that differs for each request
+	 * @return whether the region serves the request itself
 	 */
-	boolean servesItself(long object) {
-		return Rendezvous.fraction(object ^ 0x5bd1e995L) < this.own;
+	boolean servesItself(long object, long draw) {
+		double place = Rendezvous.fraction(object ^ OWN_SALT);
+		return place + DIVIDED_PART * (Rendezvous.fraction(draw) - place) < this.own;
 	}
 
 	/**
@@ -116,6 +126,12 @@
 		return new RegionDivision(this.region, part, this.others);
 	}
 
+	private double score(long object, long draw, String name) {
+		long node = Rendezvous.hash(name);
+		double weight = Math.max(SMALLEST_WEIGHT, this.others.getOrDefault(name, 0.0));
+		return Rendezvous.score(object, node, weight * (1 + DIVIDED_PART * Rendezvous.fraction(draw ^ node)));
+	}
+
 	private static Map<String, Double> between(Map<String, Double> from, Map<String, Double> to, double step) {
 		Set<String> names = new TreeSet<>(from.keySet());
 		names.addAll(to.keySet());
--- a/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadModel.java
@@ -329,7 +329,7 @@
 		PathRoute route = ask.kind().route();
 		String service = this.services.getOrDefault(ask.kind().name(), SERVICE);
 		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, service, ask.object(),
-				Set.of(), Set.of(), route.objectiveMillis(), 8, fleet.size()), nanos(now));
+				this.random.nextLong(), Set.of(), Set.of(), route.objectiveMillis(), 8, fleet.size()), nanos(now));
 		boolean crowded = choice.isPresent() && placement.crowded(service, choice.get().server().region());
 		double latest = this.admission.latest(route.objectiveMillis(), route.timeoutMillis(), route.priority(),
 				crowded);
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -193,7 +193,7 @@
 	}
 
 	private Placement.Request request(int object, String service, Set<String> homes, Set<String> excluded) {
-		return new Placement.Request(this.route, service, Rendezvous.hash("object-" + object), homes, excluded, 600,
+		return new Placement.Request(this.route, service, Rendezvous.hash("object-" + object), 0, homes, excluded, 600,
 				8.1, 2);
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
@@ -66,10 +66,10 @@
 		share.update(loads(50, 252, 3, 0.6), List.of(), 0);
 		long[] held = LongStream.range(0, 1_000)
 			.map((object) -> Rendezvous.hash("o" + object))
-			.filter((object) -> share.division().servesItself(object))
+			.filter((object) -> share.division().servesItself(object, 0))
 			.toArray();
 		share.update(loads(50, 252, 3, 0.3), List.of(), TimeUnit.SECONDS.toNanos(5));
-		assertEquals(LongStream.of(held).filter((object) -> share.division().servesItself(object)).count(),
+		assertEquals(LongStream.of(held).filter((object) -> share.division().servesItself(object, 0)).count(),
 				held.length);
 	}
 
@@ -98,6 +98,29 @@
 		assertTrue(shares.division().others().get("west") > 0.6, shares.division().others().toString());
 	}
 
+	@Test
+	public void anObjectThatMovesTakesItsRequestsAlongInParts() {
+		RegionDivision before = RegionDivision.whole("own").withOwn(0.3);
+		RegionDivision after = before.towards(before.withOwn(0.8), 2);
+		double largest = IntStream.range(0, 300)
+			.mapToObj((object) -> Rendezvous.hash("o" + object))
+			.mapToDouble((object) -> served(after, object) - served(before, object))
+			.max()
+			.orElseThrow();
+		assertTrue(largest > 0.1 && largest <= 0.5, "moved " + largest + " of an object's requests");
+	}
+
+	@Test
+	public void aWholeShareServesEveryRequestAndAnEmptyOneNone() {
+		long object = Rendezvous.hash("o1");
+		assertEquals(served(RegionDivision.whole("own"), object), 1.0);
+		assertEquals(served(RegionDivision.whole("own").withOwn(0), object), 0.0);
+	}
+
+	private static double served(RegionDivision division, long object) {
+		return IntStream.range(0, 1_000).filter((request) -> division.servesItself(object, request)).count() / 1_000.0;
+	}
+
 	@Test
 	public void aShareThatFellToZeroGrowsAgain() {
 		RegionShares share = new RegionShares("own");
@@ -145,7 +168,7 @@
 
 	private static long held(RegionShares share) {
 		return IntStream.range(0, 10_000)
-			.filter((object) -> share.division().servesItself(Rendezvous.hash("o" + object)))
+			.filter((object) -> share.division().servesItself(Rendezvous.hash("o" + object), object))
 			.count();
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
@@ -69,7 +69,7 @@
 			long start = processorNanos();
 			for (int object = 0; object < CHOICES; object++) {
 				Placement.Request request = new Placement.Request(route, "desk",
-						Rendezvous.hash("object-" + round + "-" + object), Set.of(), Set.of(), 1_000, 0, 4);
+						Rendezvous.hash("object-" + round + "-" + object), object, Set.of(), Set.of(), 1_000, 0, 4);
 				assertTrue(placement.choose(request, NOW + object).isPresent());
 			}
 			best = Math.min(best, (processorNanos() - start) / CHOICES);
