Bound a division's step after a process stood still

Cause: a step is as long as the time since the last one, so a gateway that stood still for ten seconds, or a service without servers for that time, moved a fifth of a region's objects at once. Found by reading; not seen in a run. A step now makes up for half a second at most. aProcessThatStoodStillMakesUpForLittle failed before (own part 0.5 after one step from 0.3).

--- a/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionDivision.java
@@ -29,6 +29,12 @@
 	 */
 	private static final double OTHERS_PER_SECOND = 0.03;
 
+	/**
+	 * The longest time that one step makes up for, in seconds, as a process may have
+	 * stood still.
+	 */
+	private static final double LONGEST_STEP_SECONDS = 0.5;
+
 	/**
 	 * The part of the objects whose requests are divided between two regions, so that an
 	 * object with many requests does not change its region at once.
@@ -103,7 +109,7 @@
 	 */
 	RegionDivision towards(RegionDivision target, double seconds) {
 		return new RegionDivision(this.region, this.own + limited(target.own - this.own, seconds),
-				between(this.others, target.others, OTHERS_PER_SECOND * seconds));
+				between(this.others, target.others, OTHERS_PER_SECOND * Math.min(LONGEST_STEP_SECONDS, seconds)));
 	}
 
 	/**
@@ -113,7 +119,7 @@
 	 * @return the change that may be made
 	 */
 	static double limited(double change, double seconds) {
-		double step = OWN_PER_SECOND * seconds;
+		double step = OWN_PER_SECOND * Math.min(LONGEST_STEP_SECONDS, seconds);
 		return Math.max(-step, Math.min(step, change));
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionSharesTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 import org.testng.annotations.Test;
 
@@ -101,7 +102,9 @@
 	@Test
 	public void anObjectThatMovesTakesItsRequestsAlongInParts() {
 		RegionDivision before = RegionDivision.whole("own").withOwn(0.3);
-		RegionDivision after = before.towards(before.withOwn(0.8), 2);
+		RegionDivision after = Stream.iterate(before, (each) -> each.towards(before.withOwn(0.8), 0.25))
+			.limit(9)
+			.reduce(before, (former, next) -> next);
 		double largest = IntStream.range(0, 300)
 			.mapToObj((object) -> Rendezvous.hash("o" + object))
 			.mapToDouble((object) -> served(after, object) - served(before, object))
@@ -110,6 +113,14 @@
 		assertTrue(largest > 0.1 && largest <= 0.5, "moved " + largest + " of an object's requests");
 	}
 
+	@Test
+	public void aProcessThatStoodStillMakesUpForLittle() {
+		RegionDivision before = new RegionDivision("own", 0.3, Map.of("west", 1.0));
+		RegionDivision after = before.towards(new RegionDivision("own", 0.9, Map.of("east", 1.0)), 10);
+		assertTrue(after.own() <= 0.32, "own " + after.own());
+		assertTrue(after.others().get("east") <= 0.03, after.others().toString());
+	}
+
 	@Test
 	public void aWholeShareServesEveryRequestAndAnEmptyOneNone() {
 		long object = Rendezvous.hash("o1");
