Keep following the store when one item cannot be processed

Cause: an unchecked exception of the listener was thrown inside the completion of the call, so that the next read was never scheduled and the gateway stopped following for good; a rejected document was logged with every heartbeat.

--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -262,7 +262,7 @@
 		this.gateway.connections().closeExpired();
 		this.gateway.metrics().localFractions(this.gateway.placement().localFractions());
 		this.gateway.metrics()
-			.known(this.gateway.placement().servers().size(), this.fleet.size(),
+			.known(this.gateway.placement().servers().size(), this.fleet.size(), this.view.rejectedDocuments(),
 					this.follower.ageMillis() / (double) TimeUnit.SECONDS.toMillis(1), this.events.droppedLines());
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -62,7 +62,7 @@
 
 	private final Gauge known = Gauge.builder()
 		.name("masticlane_gateway_known")
-		.help("Backend servers, entry hosts and age of the store's last answer in seconds.")
+		.help("Backend servers, entry hosts, rejected documents and age of the store's last answer in seconds.")
 		.labelNames("what")
 		.register(this.registry);
 
@@ -91,9 +91,10 @@
 		this.planVersion.set(version);
 	}
 
-	void known(int servers, int members, double storeAgeSeconds, long droppedLines) {
+	void known(int servers, int members, int rejectedDocuments, double storeAgeSeconds, long droppedLines) {
 		this.known.labelValues("servers").set(servers);
 		this.known.labelValues("entry_hosts").set(members);
+		this.known.labelValues("rejected_documents").set(rejectedDocuments);
 		this.known.labelValues("store_age_seconds").set(storeAgeSeconds);
 		this.known.labelValues("dropped_log_lines").set(droppedLines);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -1,7 +1,9 @@
 package io.masticlane.gateway;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -48,6 +50,8 @@
 
 	private Set<String> evacuatedDataCentres = Set.of();
 
+	private final Map<String, String> rejections = new HashMap<>();
+
 	private byte[] planDocument = new byte[0];
 
 	private boolean loaded;
@@ -67,6 +71,7 @@
 		long now = System.nanoTime();
 		Set<String> presentKeys = new HashSet<>();
 		items.forEach((item) -> presentKeys.add(item.key()));
+		this.rejections.keySet().retainAll(presentKeys);
 		this.registry.entriesReplaced(items.stream()
 			.flatMap((item) -> parseServer(this.gateway.dialect().key(item.key()), item).stream())
 			.toList(), now);
@@ -91,6 +96,9 @@
 	@Override
 	public void itemChanged(SharedState.Item item) {
 		Dialect.StoreKey key = this.gateway.dialect().key(item.key());
+		if (item.value().isEmpty()) {
+			this.rejections.remove(item.key());
+		}
 		switch (key.kind()) {
 			case PLAN -> item.value().ifPresent((value) -> updatePlan(value, FROM_STORE));
 			case EVACUATION -> {
@@ -109,6 +117,11 @@
 		}
 	}
 
+	@Override
+	public void itemFailed(String key, RuntimeException reason) {
+		reject(key, reason);
+	}
+
 	@Override
 	public void storeLost(String reason) {
 		this.events.record(Event.STORE_LOST, reason);
@@ -141,7 +154,7 @@
 			}
 		}
 		catch (IllegalArgumentException ex) {
-			this.events.record(Event.DOCUMENT_REJECTED, "plan from " + source, ex.getMessage());
+			reject("plan from " + source, ex);
 		}
 	}
 
@@ -194,6 +207,14 @@
 		return this.planDocument;
 	}
 
+	/**
+	 * Returns the number of documents that are rejected at present.
+	 * @return the number of documents
+	 */
+	int rejectedDocuments() {
+		return this.rejections.size();
+	}
+
 	/**
 	 * Returns whether all items of the store were read at least once.
 	 * @return whether all items of the store were read at least once
@@ -207,10 +228,12 @@
 			return Optional.empty();
 		}
 		try {
-			return Optional.of(this.gateway.dialect().server(key.name(), item.value().get()));
+			RegisteredServer server = this.gateway.dialect().server(key.name(), item.value().get());
+			this.rejections.remove(item.key());
+			return Optional.of(server);
 		}
 		catch (IllegalArgumentException ex) {
-			this.events.record(Event.DOCUMENT_REJECTED, item.key(), ex.getMessage());
+			reject(item.key(), ex);
 			return Optional.empty();
 		}
 	}
@@ -255,6 +278,7 @@
 		}
 		try {
 			Gateway member = GatewayEntry.decode(item.value().get());
+			this.rejections.remove(item.key());
 			Optional<Gateway> previous = this.fleet.member(host);
 			this.fleet.memberUpdated(member, System.nanoTime());
 			if (!previous.equals(Optional.of(member))) {
@@ -264,7 +288,20 @@
 			}
 		}
 		catch (IllegalArgumentException ex) {
-			this.events.record(Event.DOCUMENT_REJECTED, item.key(), ex.getMessage());
+			reject(item.key(), ex);
+		}
+	}
+
+	/**
+	 * Records the rejection of a document, once for each key and reason: its writer may
+	 * repeat it with every heartbeat.
+	 * @param key the key of the document
+	 * @param reason the failure
+	 */
+	private void reject(String key, RuntimeException reason) {
+		String text = (reason instanceof IllegalArgumentException) ? reason.getMessage() : reason.toString();
+		if (!text.equals(this.rejections.put(key, text))) {
+			this.events.record(Event.DOCUMENT_REJECTED, key, text);
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -74,8 +74,15 @@
 				readPage(page.items().get(page.items().size() - 1).key(), items, snapshotPosition);
 				return;
 			}
+			try {
+				this.listener.itemsReplaced(items);
+			}
+			catch (RuntimeException ex) {
+				this.listener.itemFailed("all items", ex);
+				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::readAll);
+				return;
+			}
 			this.position = snapshotPosition;
-			this.listener.itemsReplaced(items);
 			follow();
 		});
 	}
@@ -83,11 +90,25 @@
 	private void follow() {
 		onSuccess(this.store.changes(ALL_KEYS, this.position, GatewayTimes.LONG_POLL_MILLIS), (changes) -> {
 			this.position = Math.max(this.position, changes.position());
-			changes.items().forEach(this.listener::itemChanged);
+			changes.items().forEach(this::deliver);
 			schedule(GatewayTimes.FOLLOW_PAUSE_MILLIS, this::follow);
 		});
 	}
 
+	/**
+	 * Delivers a change. A change that the listener fails to process must not end the
+	 * loop that reads the next ones.
+	 * @param item the changed item
+	 */
+	private void deliver(SharedState.Item item) {
+		try {
+			this.listener.itemChanged(item);
+		}
+		catch (RuntimeException ex) {
+			this.listener.itemFailed(item.key(), ex);
+		}
+	}
+
 	private <T> void onSuccess(CompletableFuture<T> call, Consumer<T> next) {
 		call.whenComplete((response, failure) -> {
 			if (this.stopped) {
@@ -146,6 +167,14 @@
 		 */
 		void itemChanged(SharedState.Item item);
 
+		/**
+		 * Handles an item, or a snapshot of all items, that the listener failed to
+		 * process.
+		 * @param key the key of the item, or a description of the snapshot
+		 * @param reason the failure
+		 */
+		void itemFailed(String key, RuntimeException reason);
+
 		/**
 		 * Handles the loss of the store, which stopped responding.
 		 * @param reason the last failure
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -0,0 +1,149 @@
+package io.masticlane.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.masticlane.fixture.Await;
+import io.masticlane.store.SharedState;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class StoreFollowerTests {
+
+	private EventLoop loop;
+
+	private Recorder recorder;
+
+	private ScriptedStore store;
+
+	@BeforeMethod
+	public void start() {
+		this.loop = new DefaultEventLoop();
+		this.recorder = new Recorder();
+		this.store = new ScriptedStore();
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void end() {
+		this.loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	@Test
+	public void anItemThatTheListenerFailsOnLosesNeitherItsBatchNorTheNextOne() {
+		this.store.batches.add(List.of(item("odd"), item("good")));
+		this.store.batches.add(List.of(item("next")));
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder);
+		this.loop.execute(follower::start);
+		Await.until("the next batch is received", () -> this.recorder.changed.contains("next"));
+		assertEquals(this.recorder.changed, List.of("good", "next"));
+		assertEquals(this.recorder.failed, List.of("odd"));
+	}
+
+	@Test
+	public void aFailedSnapshotIsReadAgain() {
+		this.recorder.failSnapshots.set(1);
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder);
+		this.loop.execute(follower::start);
+		Await.until("a snapshot is received", () -> this.recorder.snapshots.get() == 1);
+	}
+
+	private static SharedState.Item item(String key) {
+		return new SharedState.Item(key, Optional.of(new byte[0]));
+	}
+
+	private static final class Recorder implements StoreFollower.Listener {
+
+		private final List<String> changed = new CopyOnWriteArrayList<>();
+
+		private final List<String> failed = new CopyOnWriteArrayList<>();
+
+		private final AtomicInteger failSnapshots = new AtomicInteger();
+
+		private final AtomicInteger snapshots = new AtomicInteger();
+
+		@Override
+		public void itemsReplaced(List<SharedState.Item> items) {
+			if (this.failSnapshots.getAndDecrement() > 0) {
+				throw new IllegalStateException("unexpected snapshot");
+			}
+			this.snapshots.incrementAndGet();
+		}
+
+		@Override
+		public void itemChanged(SharedState.Item item) {
+			if (item.key().equals("odd")) {
+				throw new IllegalStateException("unexpected item");
+			}
+			this.changed.add(item.key());
+		}
+
+		@Override
+		public void itemFailed(String key, RuntimeException reason) {
+			this.failed.add(key);
+		}
+
+		@Override
+		public void storeLost(String reason) {
+		}
+
+		@Override
+		public void storeRecovered() {
+		}
+
+		@Override
+		public void callCompleted(boolean succeeded) {
+		}
+
+	}
+
+	private static final class ScriptedStore implements SharedState {
+
+		private final List<List<Item>> batches = new ArrayList<>();
+
+		private int position;
+
+		@Override
+		public CompletableFuture<Page> page(String prefix, String after) {
+			return CompletableFuture.completedFuture(new Page(List.of(), false, this.position));
+		}
+
+		@Override
+		public CompletableFuture<Changes> changes(String prefix, long from, long waitMillis) {
+			List<Item> items = (this.position < this.batches.size()) ? this.batches.get(this.position) : List.of();
+			this.position++;
+			return CompletableFuture.completedFuture(new Changes(items, this.position));
+		}
+
+		@Override
+		public CompletableFuture<Boolean> put(String key, byte[] value, long lease) {
+			return CompletableFuture.completedFuture(true);
+		}
+
+		@Override
+		public CompletableFuture<Long> grantLease(long seconds) {
+			return CompletableFuture.completedFuture(1L);
+		}
+
+		@Override
+		public CompletableFuture<Boolean> renewLease(long lease) {
+			return CompletableFuture.completedFuture(true);
+		}
+
+		@Override
+		public CompletableFuture<Void> revokeLease(long lease) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+}
