--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayEntry.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayEntry.java
@@ -1,9 +1,9 @@
 package io.masticlane.fleet;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 
+import io.masticlane.registry.IpAddress;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -51,9 +51,9 @@
 				.packString(gateway.incarnation())
 				.packString(gateway.dataCentre())
 				.packString(gateway.region())
-				.packString(gateway.callerAddress().getHostString())
+				.packString(gateway.callerAddress().getAddress().getHostAddress())
 				.packInt(gateway.callerAddress().getPort())
-				.packString(gateway.peerAddress().getHostString())
+				.packString(gateway.peerAddress().getAddress().getHostAddress())
 				.packInt(gateway.peerAddress().getPort())
 				.packBoolean(gateway.leaving());
 			return packer.toByteArray();
@@ -75,8 +75,8 @@
 				throw new IllegalArgumentException("the entry has too few fields");
 			}
 			return new Gateway(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(),
-					unpacker.unpackString(), new InetSocketAddress(unpacker.unpackString(), unpacker.unpackInt()),
-					new InetSocketAddress(unpacker.unpackString(), unpacker.unpackInt()), unpacker.unpackBoolean());
+					unpacker.unpackString(), IpAddress.of(unpacker.unpackString(), unpacker.unpackInt()),
+					IpAddress.of(unpacker.unpackString(), unpacker.unpackInt()), unpacker.unpackBoolean());
 		}
 		catch (IOException | MessagePackException ex) {
 			throw new IllegalArgumentException("the entry is not a valid MessagePack encoding of a gateway: " + ex, ex);
