Answer pipelined requests in order and complete requests read in part at a stop

Cause: the next pipelined request left the queue before it was begun, so that a request that arrived in between overtook it and each got the other's answer, or the connection was closed as idle; the 413 of a too large body was sent before the answers to earlier requests; a planned stop closed connections of which a request had been read in part. A request stays in the queue until it is begun, and a connection with a part of a request is not idle; the timeouts for callers still end it.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.OptionalDouble;
+import java.util.function.BooleanSupplier;
 
 import io.masticlane.caller.Headers;
 import io.masticlane.caller.RefusedRequest;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Handles the connection of a caller and processes its requests one after the other.
@@ -34,15 +36,21 @@
 	 */
 	private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
 
-	private final GatewayContext gateway;
+	private final Processor processor;
+
+	private final BooleanSupplier leaving;
 
 	private final ReadTimeoutTracker timeouts;
 
-	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+	/**
+	 * The requests that wait for the response to an earlier one, including the next one
+	 * until it is begun, so that none can overtake it.
+	 */
+	private final Deque<Object> pipelined = new ArrayDeque<>();
 
 	private ChannelHandlerContext context;
 
-	private ProxiedRequest current;
+	private Processing current;
 
 	private boolean keepAlive;
 
@@ -50,8 +58,15 @@
 
 	private boolean closing;
 
-	CallerHandler(GatewayContext gateway, ReadTimeoutTracker timeouts) {
-		this.gateway = gateway;
+	/**
+	 * Creates a handler.
+	 * @param processor starts the processing of each request
+	 * @param leaving whether the gateway is leaving, after which connections are closed
+	 * @param timeouts tracks the timeouts of the connection
+	 */
+	CallerHandler(Processor processor, BooleanSupplier leaving, ReadTimeoutTracker timeouts) {
+		this.processor = processor;
+		this.leaving = leaving;
 		this.timeouts = timeouts;
 	}
 
@@ -63,29 +78,22 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
 		this.timeouts.requestReceived();
-		if (message instanceof FullHttpRequest request) {
-			if (this.current != null || !this.pipelined.isEmpty()) {
-				if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-					read.close();
-					return;
-				}
-				this.pipelined.add(request.retain());
-				return;
-			}
-			begin(request);
+		if (this.current == null && this.pipelined.isEmpty()) {
+			begin(message);
 		}
-		else if (message instanceof RefusedRequest) {
-			this.keepAlive = false;
-			sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
+		else if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
+			read.close();
+		}
+		else {
+			this.pipelined.add(ReferenceCountUtil.retain(message));
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
-		this.pipelined.forEach(FullHttpRequest::release);
-		this.pipelined.clear();
+		discardPipelined();
 		if (this.current != null) {
-			ProxiedRequest disconnected = this.current;
+			Processing disconnected = this.current;
 			this.current = null;
 			disconnected.callerDisconnected();
 		}
@@ -125,14 +133,34 @@
 	}
 
 	/**
-	 * Closes the connection if no request is in flight on it.
+	 * Closes the connection unless a request on it is in flight or has been read in part.
 	 */
 	void closeIfIdle() {
-		if (this.current == null && this.pipelined.isEmpty()) {
+		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
 			this.context.close();
 		}
 	}
 
+	private void begin(Object message) {
+		this.timeouts.requestReceived();
+		if (message instanceof FullHttpRequest request) {
+			begin(request);
+		}
+		else if (message instanceof RefusedRequest) {
+			this.headRequest = false;
+			this.keepAlive = false;
+			sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
+		}
+	}
+
+	private void beginNext() {
+		Object next = this.pipelined.poll();
+		if (next != null) {
+			begin(next);
+			ReferenceCountUtil.release(next);
+		}
+	}
+
 	private void begin(FullHttpRequest request) {
 		Throwable decoderFailure = request.decoderResult().cause();
 		this.headRequest = request.method().name().equals("HEAD");
@@ -144,15 +172,15 @@
 					"the request cannot be read", OptionalDouble.empty());
 			return;
 		}
-		ProxiedRequest proxied = new ProxiedRequest(this.gateway, this, request);
-		this.current = proxied;
-		proxied.start();
+		Processing processing = this.processor.create(this, request);
+		this.current = processing;
+		processing.start();
 	}
 
 	private void finish(FullHttpResponse response) {
 		this.current = null;
 		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.gateway.isLeaving();
+		boolean close = !this.keepAlive || this.leaving.getAsBoolean();
 		if (!this.headRequest) {
 			HttpUtil.setContentLength(response, response.content().readableBytes());
 		}
@@ -163,19 +191,49 @@
 		this.context.writeAndFlush(response)
 			.addListener(close ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
 		if (this.closing) {
-			this.pipelined.forEach(FullHttpRequest::release);
-			this.pipelined.clear();
-			return;
+			discardPipelined();
 		}
-		FullHttpRequest next = this.pipelined.poll();
-		if (next != null) {
-			this.context.executor().execute(() -> {
-				if (this.context.channel().isActive()) {
-					begin(next);
-				}
-				next.release();
-			});
+		else if (!this.pipelined.isEmpty()) {
+			this.context.executor().execute(this::beginNext);
 		}
 	}
 
+	private void discardPipelined() {
+		this.pipelined.forEach(ReferenceCountUtil::release);
+		this.pipelined.clear();
+	}
+
+	/**
+	 * Creates the processing of a request.
+	 */
+	@FunctionalInterface
+	interface Processor {
+
+		/**
+		 * Creates the processing of a request.
+		 * @param caller the connection, which receives exactly one response
+		 * @param request the request, which the processing retains
+		 * @return the processing, not yet started
+		 */
+		Processing create(CallerHandler caller, FullHttpRequest request);
+
+	}
+
+	/**
+	 * The processing of one request.
+	 */
+	interface Processing {
+
+		/**
+		 * Starts the processing.
+		 */
+		void start();
+
+		/**
+		 * Handles the loss of the caller's connection.
+		 */
+		void callerDisconnected();
+
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -315,7 +315,8 @@
 							new CallerCodec(new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 								.setMaxHeaderSize(limits.maximumHeadBytes())),
 							new HeadListener(timeouts), new BodyAggregator(limits.maximumBodyBytes()),
-							new CallerHandler(GatewayDaemon.this.gateway, timeouts));
+							new CallerHandler((caller, request) -> new ProxiedRequest(GatewayDaemon.this.gateway,
+									caller, request), GatewayDaemon.this.gateway::isLeaving, timeouts));
 				GatewayDaemon.this.callers.add(channel);
 			}
 		});
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -26,7 +26,7 @@
  * Proxies one request of a caller: validates and admits it, forwards it to a backend
  * server, retries it if it is idempotent or was not run, and sends exactly one response.
  */
-final class ProxiedRequest {
+final class ProxiedRequest implements CallerHandler.Processing {
 
 	private static final String NONE = "-";
 
@@ -126,7 +126,8 @@
 		this.request = request.retain();
 	}
 
-	void start() {
+	@Override
+	public void start() {
 		this.gateway.requestStarted();
 		this.plan = this.gateway.plan();
 		this.callerRequest = this.gateway.dialect().request(this.request.headers());
@@ -158,7 +159,8 @@
 		admit();
 	}
 
-	void callerDisconnected() {
+	@Override
+	public void callerDisconnected() {
 		if (this.finished) {
 			return;
 		}
--- a/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
@@ -51,6 +51,14 @@
 		this.stateSince = System.nanoTime();
 	}
 
+	/**
+	 * Returns whether a part of a request was read.
+	 * @return whether the rest of a request is awaited
+	 */
+	boolean isReading() {
+		return this.state == State.HEAD || this.state == State.BODY;
+	}
+
 	/**
 	 * Returns whether the caller exceeded a timeout.
 	 * @param limits the limits for callers
