Distrust a refusal without an identifier on a reused connection

Cause: a refusal was taken as the answer to the request at hand unless it named another one. A copy of an earlier refusal made a request that ran count as not run: it was refused or sent to a second server. The connection of a response that cannot be trusted is closed. Only the statuses that the platform names can say that a request did not run.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -25,6 +25,8 @@
 
 	private boolean written;
 
+	private boolean onReusedConnection;
+
 	ClientCall(ResponseListener listener) {
 		this.listener = listener;
 	}
@@ -45,6 +47,15 @@
 		return this.written;
 	}
 
+	/**
+	 * Returns whether the connection of the call carried an earlier call. A response that
+	 * names no request may then be one to an earlier call.
+	 * @return whether the connection was reused
+	 */
+	public boolean isOnReusedConnection() {
+		return this.onReusedConnection;
+	}
+
 	void connectStarted(Channel started) {
 		this.channel = started;
 	}
@@ -77,6 +88,8 @@
 
 		private ClientCall call;
 
+		private boolean used;
+
 		private boolean requestWritten;
 
 		private boolean unexpectedResponse;
@@ -104,6 +117,8 @@
 			this.call = started;
 			this.requestWritten = false;
 			started.written = true;
+			started.onReusedConnection = this.used;
+			this.used = true;
 			this.context.channel()
 				.writeAndFlush(request)
 				.addListener((ChannelFuture done) -> this.requestWritten = done.isSuccess());
@@ -136,13 +151,15 @@
 				end(ResponseListener.Failure.MALFORMED, String.valueOf(response.decoderResult().cause()));
 				return;
 			}
-			if (!activeCall.listener.responseReceived(response)) {
+			ResponseListener.Disposition disposition = activeCall.listener.responseReceived(response);
+			if (disposition == ResponseListener.Disposition.UNRELATED) {
 				this.unexpectedResponse = true;
 				return;
 			}
 			activeCall.ended = true;
 			this.call = null;
-			if (this.unexpectedResponse || !this.requestWritten || !HttpUtil.isKeepAlive(response)) {
+			if (disposition == ResponseListener.Disposition.DOUBTFUL || this.unexpectedResponse || !this.requestWritten
+					|| !HttpUtil.isKeepAlive(response)) {
 				read.close();
 				return;
 			}
--- a/masticlane/src/main/java/io/masticlane/client/ResponseListener.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseListener.java
@@ -10,9 +10,9 @@
 	/**
 	 * Handles a response, which is released afterwards.
 	 * @param response the complete response
-	 * @return whether the response is for the call; if not, the call keeps waiting
+	 * @return what the response means for the call and its connection
 	 */
-	boolean responseReceived(FullHttpResponse response);
+	Disposition responseReceived(FullHttpResponse response);
 
 	/**
 	 * Handles the end of a call without a complete response.
@@ -21,6 +21,30 @@
 	 */
 	void callFailed(Failure failure, String detail);
 
+	/**
+	 * What a response means for a call and its connection.
+	 */
+	enum Disposition {
+
+		/**
+		 * The response ends the call, and the connection may be reused.
+		 */
+		COMPLETE,
+
+		/**
+		 * The response ends the call, and the connection is closed, since another
+		 * response to the call may follow.
+		 */
+		DOUBTFUL,
+
+		/**
+		 * The response belongs to another call. The call keeps waiting, and the
+		 * connection is closed after it.
+		 */
+		UNRELATED
+
+	}
+
 	/**
 	 * The ways in which a call fails.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -249,6 +249,15 @@
 					new Attempt(server));
 	}
 
+	private void handleUntrustedResponse(ServerState server, FullHttpResponse response) {
+		endAttempt();
+		this.sentToServers.add(server.entry().id());
+		this.mayHaveRun = true;
+		server.recordFailure(System.nanoTime());
+		this.events.attemptFailed(server, this.triedServers.size(), "untrusted", response.status().toString());
+		retryOrFail("untrusted_answer");
+	}
+
 	private void handleResponse(ServerState server, FullHttpResponse response, Dialect.ServerResponse parsed) {
 		long now = System.nanoTime();
 		boolean atCapacity = server.load(now) >= server.entry().slots();
@@ -276,12 +285,6 @@
 		this.sentToServers.add(server.entry().id());
 		this.mayHaveRun = true;
 		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-		if (parsed.encoded() || parsed.id().isEmpty() || success && !parsed.signed()) {
-			server.recordFailure(now);
-			this.events.attemptFailed(server, this.triedServers.size(), "untrusted", response.status().toString());
-			retryOrFail("untrusted_answer");
-			return;
-		}
 		server.recordResponse(this.placementRequest.object(), success || response.status().code() < SERVER_ERROR_STATUS,
 				this.sentAt, now);
 		if (success && this.choice.slotFree()) {
@@ -488,15 +491,35 @@
 		}
 
 		@Override
-		public boolean responseReceived(FullHttpResponse response) {
+		public Disposition responseReceived(FullHttpResponse response) {
 			Dialect.ServerResponse parsed = ProxiedRequest.this.gateway.dialect().response(response);
 			if (parsed.id().isPresent() && !parsed.id().get().equals(ProxiedRequest.this.callerRequest.id())) {
 				ProxiedRequest.this.events.attemptFailed(this.server, ProxiedRequest.this.triedServers.size(),
 						"foreign_answer", parsed.id().get());
-				return false;
+				return Disposition.UNRELATED;
+			}
+			if (!isTrusted(response, parsed)) {
+				handleUntrustedResponse(this.server, response);
+				return Disposition.DOUBTFUL;
+			}
+			handleResponse(this.server, response, parsed);
+			return Disposition.COMPLETE;
+		}
+
+		/**
+		 * Returns whether the response is certainly the server's own and to this request.
+		 * A refusal without an identifier may repeat the one of an earlier request,
+		 * unless this is the connection's first request.
+		 * @param response the response
+		 * @param parsed the values of its head
+		 * @return whether the response is trusted
+		 */
+		private boolean isTrusted(FullHttpResponse response, Dialect.ServerResponse parsed) {
+			if (parsed.notRun()) {
+				return parsed.id().isPresent() || !ProxiedRequest.this.call.isOnReusedConnection();
 			}
-			ProxiedRequest.this.handleResponse(this.server, response, parsed);
-			return true;
+			boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+			return !parsed.encoded() && parsed.id().isPresent() && (parsed.signed() || !success);
 		}
 
 		@Override
