Share an organisation's rate after a restart of many gateways

Cause: a restarted gateway took its organisations' buckets for 0.3 full and its share for less than one token, so that it refused the first requests of each organisation; the rest of a share was carried over without being in the bucket, so that the shares together exceeded it, and a silent gateway's part of the bucket was used by the others.

--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -46,7 +46,7 @@
 
 	private final AdmissionPolicy admission = new AdmissionPolicy(() -> ThreadLocalRandom.current().nextDouble());
 
-	private final RateShares shares = new RateShares();
+	private final RateShares shares = new RateShares(() -> ThreadLocalRandom.current().nextDouble());
 
 	private final WeightedRoundRobin splits = new WeightedRoundRobin();
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -121,7 +121,7 @@
 		this.gateway = new GatewayContext(this.loop, platform.dialect(), settings, events, this.fleet);
 		this.view = new GatewayView(this.gateway, this.fleet, settings.host(), this::region, this::connectPeers);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
-		this.follower = new StoreFollower(this.loop, store, this.view);
+		this.follower = new StoreFollower(this.loop, store, this.view, GatewayTimes.followPauseMillis(settings));
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
 				(lease, reason) -> events.record(Event.REGISTRATION_LOST, settings.host(), lease, reason));
 		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower,
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -1,5 +1,9 @@
 package io.masticlane.gateway;
 
+import java.util.concurrent.TimeUnit;
+
+import io.masticlane.setting.GatewaySettings;
+
 /**
  * The intervals and timeouts of a gateway, which follow from the platform's bounds.
  */
@@ -18,10 +22,16 @@
 	static final long IDLE_TIMEOUT_MILLIS = 6_000;
 
 	/**
-	 * The pause between reads of the store's changes, so that one call returns the
-	 * heartbeats of several backend servers; a leaving server is noticed within 2.5 s.
+	 * The pause between reads of the store's changes as a fraction of the shortest time
+	 * within which a change must be in force. The rest covers a slow read and one that
+	 * fails.
+	 */
+	static final double FOLLOW_PAUSE_FRACTION = 0.44;
+
+	/**
+	 * The longest pause between reads of the store's changes.
 	 */
-	static final long FOLLOW_PAUSE_MILLIS = 1_100;
+	static final long MAXIMUM_FOLLOW_PAUSE_MILLIS = 2_000;
 
 	/**
 	 * How long the store waits for a change before it responds to a read of changes.
@@ -34,9 +44,10 @@
 	static final long RETRY_PAUSE_MILLIS = 300;
 
 	/**
-	 * The time since the last response after which the store counts as lost.
+	 * How much longer than a pause and a read the store may be silent before it counts as
+	 * lost.
 	 */
-	static final long STORE_LOST_MILLIS = 2_500;
+	static final long STORE_LOST_MARGIN_MILLIS = 400;
 
 	/**
 	 * The lease of a gateway's entry; look-ups return a dead gateway for 7 s at most.
@@ -99,4 +110,16 @@
 	private GatewayTimes() {
 	}
 
+	/**
+	 * Returns the pause between reads of the store's changes, so that one call returns
+	 * the changes of several backend servers.
+	 * @param settings the settings of the gateway
+	 * @return the pause in milliseconds
+	 */
+	static long followPauseMillis(GatewaySettings settings) {
+		double seconds = Math.min(settings.departureSeconds(), settings.configurationSeconds());
+		return Math.min(MAXIMUM_FOLLOW_PAUSE_MILLIS,
+				Math.round(seconds * TimeUnit.SECONDS.toMillis(1) * FOLLOW_PAUSE_FRACTION));
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -129,7 +129,7 @@
 			this.planOutdatedSince = now;
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.gateway.plan().version()));
 		}
-		boolean storeLost = this.store.ageMillis() > GatewayTimes.STORE_LOST_MILLIS;
+		boolean storeLost = this.store.isOverdue();
 		if (storeLost && report.storePosition() > Math.max(this.appliedPosition, this.store.position())) {
 			this.appliedPosition = report.storePosition();
 			this.view.updateEvacuations(
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -23,6 +23,8 @@
 
 	private final Listener listener;
 
+	private final long pauseMillis;
+
 	private long position = -1;
 
 	private long lastResponseAt;
@@ -31,10 +33,18 @@
 
 	private boolean stopped;
 
-	StoreFollower(EventLoop loop, SharedState store, Listener listener) {
+	/**
+	 * Creates a follower.
+	 * @param loop the event loop
+	 * @param store the store
+	 * @param listener receives the items
+	 * @param pauseMillis the pause between reads of the changes in milliseconds
+	 */
+	StoreFollower(EventLoop loop, SharedState store, Listener listener, long pauseMillis) {
 		this.loop = loop;
 		this.store = store;
 		this.listener = listener;
+		this.pauseMillis = pauseMillis;
 		this.lastResponseAt = System.nanoTime();
 	}
 
@@ -62,6 +72,14 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.lastResponseAt);
 	}
 
+	/**
+	 * Returns whether the store has not responded for longer than a pause and a read.
+	 * @return whether a response is overdue
+	 */
+	boolean isOverdue() {
+		return ageMillis() > this.pauseMillis + GatewayTimes.LONG_POLL_MILLIS + GatewayTimes.STORE_LOST_MARGIN_MILLIS;
+	}
+
 	private void readAll() {
 		readPage(ALL_KEYS, new ArrayList<>(), -1);
 	}
@@ -91,7 +109,7 @@
 		onSuccess(this.store.changes(ALL_KEYS, this.position, GatewayTimes.LONG_POLL_MILLIS), (changes) -> {
 			this.position = Math.max(this.position, changes.position());
 			changes.items().forEach(this::deliver);
-			schedule(GatewayTimes.FOLLOW_PAUSE_MILLIS, this::follow);
+			schedule(this.pauseMillis, this::follow);
 		});
 	}
 
@@ -139,7 +157,7 @@
 			succeeded();
 			this.position = -1;
 		}
-		else if (!this.lost && ageMillis() > GatewayTimes.STORE_LOST_MILLIS) {
+		else if (!this.lost && isOverdue()) {
 			this.lost = true;
 			this.listener.storeLost(String.valueOf(failure.getMessage()));
 		}
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -47,7 +47,7 @@
 	 * time may have been written before the server became unreachable. It covers a read
 	 * of the store's changes and the pause between reads.
 	 */
-	private static final long ENTRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+	private static final long ENTRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
 
 	/**
 	 * The period after a server was unreachable in which it may be cold if no entry
--- a/masticlane/src/main/java/io/masticlane/quota/RateShares.java
+++ b/masticlane/src/main/java/io/masticlane/quota/RateShares.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 import io.masticlane.plan.OrganisationPlan;
 
@@ -13,7 +14,8 @@
  * Every gateway subtracts the requests that it and the others admitted, and may use its
  * fraction of the level until the next reports. The level becomes negative when reports
  * lag behind a sudden increase of requests, so that an excess is compensated immediately.
- * A gateway without a recent report is assumed to use an equal share.
+ * A gateway without a recent report is assumed to use an equal share, and the others
+ * share the rest of the bucket.
  */
 public final class RateShares {
 
@@ -23,33 +25,28 @@
 	private static final double DEMAND_FRACTION = 0.9;
 
 	/**
-	 * The seconds of the rate that a full bucket holds in addition to the burst. Together
-	 * with the slack, this stays within the tolerance of 10% and 20 requests in 5 s.
+	 * The tokens that a full bucket holds in addition to the burst. The rest of the
+	 * tolerance of 10% and 20 requests in 5 s covers reports that lag behind.
 	 */
-	private static final double CAPACITY_RATE_SECONDS = 0.1;
-
-	/**
-	 * The tokens that a full bucket holds in addition to burst and rate.
-	 */
-	private static final double CAPACITY_SLACK = 8;
+	private static final double CAPACITY_SLACK = 4;
 
 	/**
 	 * The seconds of the rate that all gateways together may use between two reports
 	 * while the bucket is at least half full.
 	 */
-	private static final double RELAXED_RATE_SECONDS = 1;
+	private static final double RELAXED_RATE_SECONDS = 0.8;
 
 	/**
 	 * The fraction of the burst that all gateways together may use between two reports
 	 * while the bucket is at least half full.
 	 */
-	private static final double RELAXED_BURST_FRACTION = 0.8;
+	private static final double RELAXED_BURST_FRACTION = 0.6;
 
 	/**
 	 * The tokens that all gateways together may use in addition between two reports while
 	 * the bucket is at least half full.
 	 */
-	private static final double RELAXED_SLACK = 12;
+	private static final double RELAXED_SLACK = 16;
 
 	/**
 	 * The fraction of the capacity from which the larger limits between reports apply.
@@ -57,10 +54,17 @@
 	private static final double RELAXED_LEVEL_FRACTION = 0.5;
 
 	/**
-	 * The initial level of a bucket as a fraction of its capacity; a previous process may
-	 * just have used the tokens.
+	 * The initial level of a bucket as a fraction of its capacity. A previous process may
+	 * just have used the tokens, but the bucket was refilled during the restart; a lower
+	 * level would leave each of many gateways less than one token.
+	 */
+	private static final double INITIAL_LEVEL_FRACTION = 0.6;
+
+	/**
+	 * The period after the creation of a bucket in which the larger limits between
+	 * reports do not apply, since the reports of the other gateways are still missing.
 	 */
-	private static final double INITIAL_LEVEL_FRACTION = 0.3;
+	private static final double UNREPORTED_SECONDS = 1.1;
 
 	/**
 	 * The time constant of the exponential smoothing of demand.
@@ -71,8 +75,19 @@
 
 	private final Map<String, Counts> countsByHost = new HashMap<>();
 
+	private final DoubleSupplier random;
+
 	private int members = 1;
 
+	/**
+	 * Creates the shares of a gateway.
+	 * @param random returns numbers from 0 to 1, which decide whether a share of less
+	 * than one token is a whole token
+	 */
+	public RateShares(DoubleSupplier random) {
+		this.random = random;
+	}
+
 	/**
 	 * Adds or updates the organisations of a plan.
 	 * @param organisations the organisations
@@ -145,7 +160,7 @@
 	public void divide(int gateways, int fresh, long now) {
 		this.members = Math.max(1, Math.max(gateways, fresh));
 		double unreportedFraction = (this.members - Math.max(1, fresh)) / (double) this.members;
-		this.buckets.values().forEach((bucket) -> bucket.divide(unreportedFraction, this.members, now));
+		this.buckets.values().forEach((bucket) -> bucket.divide(unreportedFraction, this.members, this.random, now));
 	}
 
 	/**
@@ -219,6 +234,8 @@
 
 		private long refusedReported;
 
+		private long createdAt;
+
 		private long dividedAt;
 
 		private boolean divided;
@@ -258,9 +275,13 @@
 			}
 		}
 
-		private void divide(double unreportedFraction, int members, long now) {
-			double seconds = this.divided ? (now - this.dividedAt) / (double) TimeUnit.SECONDS.toNanos(1) : 0;
-			this.divided = true;
+		private void divide(double unreportedFraction, int members, DoubleSupplier random, long now) {
+			if (!this.divided) {
+				this.divided = true;
+				this.createdAt = now;
+				this.dividedAt = now;
+			}
+			double seconds = seconds(this.dividedAt, now);
 			this.dividedAt = now;
 			double smoothing = 1 - Math.exp(-seconds / SMOOTHING_SECONDS);
 			if (seconds > 0) {
@@ -270,23 +291,30 @@
 			this.requested = 0;
 			this.requestedElsewhere = 0;
 			double rate = this.plan.ratePerSecond();
-			this.level = Math.min(capacity(), this.level + rate * (1 - unreportedFraction) * seconds);
+			boolean starting = seconds(this.createdAt, now) < UNREPORTED_SECONDS;
+			double reportedFraction = 1 - unreportedFraction;
+			double capacity = capacity() * (starting ? 1 : reportedFraction);
+			this.level = Math.min(capacity, this.level + rate * reportedFraction * seconds);
+			double sharing = starting ? members : members * reportedFraction;
 			double total = this.demand + this.demandElsewhere;
-			double fraction = (1 - unreportedFraction) * DEMAND_FRACTION
-					* ((total > 0) ? this.demand / total : 1.0 / members)
-					+ (1 - DEMAND_FRACTION * (1 - unreportedFraction)) / members;
-			double unused = Math.max(0, Math.min(1, this.grant));
+			double demandFraction = DEMAND_FRACTION * (starting ? reportedFraction : 1);
+			double fraction = demandFraction * ((total > 0) ? this.demand / total : 1 / sharing)
+					+ (1 - demandFraction) / sharing;
 			double share = Math.max(0, this.level) * fraction;
-			if (this.level >= capacity() * RELAXED_LEVEL_FRACTION) {
-				double relaxed = rate * RELAXED_RATE_SECONDS + this.plan.burst() * RELAXED_BURST_FRACTION
-						+ RELAXED_SLACK;
+			if (this.level >= capacity * RELAXED_LEVEL_FRACTION) {
+				double relaxed = starting ? 0
+						: rate * RELAXED_RATE_SECONDS + this.plan.burst() * RELAXED_BURST_FRACTION + RELAXED_SLACK;
 				share = Math.max(share, Math.max(1, relaxed / members));
 			}
-			this.grant = share + unused;
+			this.grant = (share >= 1) ? share : (random.getAsDouble() < share) ? 1 : 0;
+		}
+
+		private static double seconds(long from, long to) {
+			return (to - from) / (double) TimeUnit.SECONDS.toNanos(1);
 		}
 
 		private double capacity() {
-			return this.plan.burst() + this.plan.ratePerSecond() * CAPACITY_RATE_SECONDS + CAPACITY_SLACK;
+			return this.plan.burst() + CAPACITY_SLACK;
 		}
 
 	}
--- a/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
@@ -29,12 +29,16 @@
  * @param coldOvershoot The factor by which a cold backend server's rate may be exceeded.
  * @param coldSlack The requests per second that a cold backend server may receive in
  * addition to its rate multiplied by the overshoot.
+ * @param departureSeconds The longest time in seconds for which a backend server may
+ * receive requests after its departure was recorded.
+ * @param configurationSeconds The longest time in seconds until a recorded configuration
+ * is in force.
  */
 public record GatewaySettings(String host, String dataCentre, String region, String regions,
 		InetSocketAddress callerAddress, InetSocketAddress readinessAddress, InetSocketAddress directoryAddress,
 		InetSocketAddress peerAddress, InetSocketAddress storeAddress, double storeMinimumLeaseSeconds,
 		int maximumDescriptors, double graceSeconds, double maximumTtlSeconds, double retryRatio, double retrySlack,
-		double coldOvershoot, double coldSlack) {
+		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds) {
 
 	/**
 	 * The descriptors of all settings of this group.
@@ -71,7 +75,11 @@
 			new Setting("cold-overshoot", "MASTICLANE_COLD_OVERSHOOT", "decimal", "1.5", 0L, 0L,
 					"The factor by which a cold backend server's rate may be exceeded."),
 			new Setting("cold-slack", "MASTICLANE_COLD_SLACK", "decimal", "5", 0L, 0L,
-					"The requests per second that a cold backend server may receive in addition to its rate multiplied by the overshoot."));
+					"The requests per second that a cold backend server may receive in addition to its rate multiplied by the overshoot."),
+			new Setting("departure-seconds", "MASTICLANE_DEPARTURE_SECONDS", "decimal", "2.5", 0L, 0L,
+					"The longest time in seconds for which a backend server may receive requests after its departure was recorded."),
+			new Setting("configuration-seconds", "MASTICLANE_CONFIGURATION_SECONDS", "decimal", "2.5", 0L, 0L,
+					"The longest time in seconds until a recorded configuration is in force."));
 
 	/**
 	 * Reads the settings from a source.
@@ -84,6 +92,7 @@
 				source.address("directory-address"), source.address("peer-address"), source.address("store-address"),
 				source.decimal("store-minimum-lease-seconds"), source.integer("maximum-descriptors"),
 				source.decimal("grace-seconds"), source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"),
-				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"));
+				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"),
+				source.decimal("departure-seconds"), source.decimal("configuration-seconds"));
 	}
 }
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -42,7 +42,7 @@
 	public void anItemThatTheListenerFailsOnLosesNeitherItsBatchNorTheNextOne() {
 		this.store.batches.add(List.of(item("odd"), item("good")));
 		this.store.batches.add(List.of(item("next")));
-		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder);
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 20);
 		this.loop.execute(follower::start);
 		Await.until("the next batch is received", () -> this.recorder.changed.contains("next"));
 		assertEquals(this.recorder.changed, List.of("good", "next"));
@@ -52,7 +52,7 @@
 	@Test
 	public void aFailedSnapshotIsReadAgain() {
 		this.recorder.failSnapshots.set(1);
-		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder);
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 20);
 		this.loop.execute(follower::start);
 		Await.until("a snapshot is received", () -> this.recorder.snapshots.get() == 1);
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
 import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
@@ -74,6 +75,12 @@
 
 	private GatewayChoice gatewayChoice = (now, drawn) -> drawn;
 
+	private double boundFraction;
+
+	private Set<String> boundRegions = Set.of();
+
+	private final Outcomes boundOutcomes = new Outcomes();
+
 	LoadSimulation(long seed, List<RequestKind> kinds, Map<String, Integer> serversByRegion, int slots,
 			int gatewaysInRegion) {
 		this.random = new Random(seed);
@@ -245,6 +252,32 @@
 		this.gateways.put(region, List.copyOf(regionGateways));
 	}
 
+	/**
+	 * Restricts a part of the requests to some regions, as those of one organisation.
+	 * @param fraction the fraction of the requests of every region's callers
+	 * @param regions the regions that may serve them
+	 */
+	void bind(double fraction, Set<String> regions) {
+		this.boundFraction = fraction;
+		this.boundRegions = regions;
+	}
+
+	/**
+	 * Applies a change to every gateway before a load is run.
+	 * @param change the change
+	 */
+	void configure(Consumer<Placement> change) {
+		this.gateways.values().forEach((regionGateways) -> regionGateways.forEach(change));
+	}
+
+	/**
+	 * Returns the outcomes of the requests that are restricted to some regions.
+	 * @return the outcomes
+	 */
+	Outcomes boundOutcomes() {
+		return this.boundOutcomes;
+	}
+
 	/**
 	 * Returns the record of the regions that processed requests.
 	 * @return the record
@@ -321,7 +354,9 @@
 		if (at < seconds * 1_000) {
 			this.events.add(new Event(at, (later) -> {
 				long object = Rendezvous.hash(kind.name() + this.random.nextInt(kind.objects()));
-				send(new CallerRequest(kind, region, object, later, 0), later);
+				Set<String> allowed = (this.boundFraction > 0 && this.random.nextDouble() < this.boundFraction)
+						? this.boundRegions : Set.of();
+				send(new CallerRequest(kind, region, object, later, 0, allowed), later);
 				scheduleArrival(kind, region, later, factor, seconds);
 			}));
 		}
@@ -333,8 +368,9 @@
 			.get(this.gatewayChoice.applyAsInt(now, this.random.nextInt(regionGateways.size())));
 		PathRoute route = request.kind().route();
 		String service = this.services.getOrDefault(request.kind().name(), SERVICE);
-		Optional<Placement.Choice> choice = placement.choose(new Placement.Request(route, service, request.object(),
-				this.random.nextLong(), Set.of(), Set.of(), route.objectiveMillis(), 8, regionGateways.size()),
+		Optional<Placement.Choice> choice = placement.choose(
+				new Placement.Request(route, service, request.object(), this.random.nextLong(),
+						request.allowedRegions(), Set.of(), route.objectiveMillis(), 8, regionGateways.size()),
 				nanos(now));
 		boolean congested = choice.isPresent() && placement.isCongested(service, choice.get().server().region());
 		double latest = this.admission.latestResponseMillis(route.objectiveMillis(), route.timeoutMillis(),
@@ -359,18 +395,20 @@
 	private void handleRefusal(CallerRequest request, double now, double retryAfterMillis) {
 		if (request.attempts() == 0) {
 			double delay = Math.min(retryAfterMillis, request.kind().deadlineMillis() / 3.0);
-			this.events.add(new Event(now + delay,
-					(later) -> send(
-							new CallerRequest(request.kind(), request.region(), request.object(), request.sentAt(), 1),
-							later)));
+			this.events.add(new Event(now + delay, (later) -> send(new CallerRequest(request.kind(), request.region(),
+					request.object(), request.sentAt(), 1, request.allowedRegions()), later)));
 		}
 		else {
-			outcomesOf(request).refused++;
+			count(request, (outcomes) -> outcomes.refused++);
 		}
 	}
 
-	private Outcomes outcomesOf(CallerRequest request) {
-		return this.outcomesBySecond.computeIfAbsent((int) (request.sentAt() / 1_000), (second) -> new Outcomes());
+	private void count(CallerRequest request, Consumer<Outcomes> outcome) {
+		outcome.accept(
+				this.outcomesBySecond.computeIfAbsent((int) (request.sentAt() / 1_000), (second) -> new Outcomes()));
+		if (!request.allowedRegions().isEmpty()) {
+			outcome.accept(this.boundOutcomes);
+		}
 	}
 
 	private static long nanos(double millis) {
@@ -400,7 +438,8 @@
 	private record Event(double at, Task task) {
 	}
 
-	private record CallerRequest(RequestKind kind, String region, long object, double sentAt, int attempts) {
+	private record CallerRequest(RequestKind kind, String region, long object, double sentAt, int attempts,
+			Set<String> allowedRegions) {
 	}
 
 	private record ServerRequest(CallerRequest callerRequest, Placement placement, Placement.Choice choice,
@@ -446,6 +485,10 @@
 			return this.inTime + this.late + this.refused + this.timedOut;
 		}
 
+		double servedFraction() {
+			return (this.inTime + this.late) / (double) Math.max(1, total());
+		}
+
 		double inTimeFraction() {
 			return this.inTime / (double) Math.max(1, total());
 		}
@@ -556,11 +599,11 @@
 						.kind()
 						.route()
 						.objectiveMillis();
-					outcomesOf(request.callerRequest()).inTime += inTime ? 1 : 0;
-					outcomesOf(request.callerRequest()).late += inTime ? 0 : 1;
+					count(request.callerRequest(), (outcomes) -> outcomes.inTime += inTime ? 1 : 0);
+					count(request.callerRequest(), (outcomes) -> outcomes.late += inTime ? 0 : 1);
 				}
 				else if (processed) {
-					outcomesOf(request.callerRequest()).timedOut++;
+					count(request.callerRequest(), (outcomes) -> outcomes.timedOut++);
 				}
 				else {
 					handleRefusal(request.callerRequest(), later, 300);
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -45,6 +46,21 @@
 		assertTrue(simulation.total(10, 40).inTimeFraction() >= 0.9, simulation.total(10, 40).toString());
 	}
 
+	/**
+	 * An organisation that only the smallest region may serve must not starve because of
+	 * requests that any region could serve.
+	 * @param seed the seed
+	 */
+	@Test(dataProvider = "seeds")
+	public void anOrganisationBoundToASmallRegionIsServedThere(long seed) {
+		LoadSimulation simulation = simulation(seed);
+		simulation.bind(0.1, Set.of("north"));
+		simulation.run(40, (second) -> 1);
+		LoadSimulation.Outcomes all = simulation.total(0, 40);
+		LoadSimulation.Outcomes bound = simulation.boundOutcomes();
+		assertTrue(bound.servedFraction() >= all.servedFraction() - 0.2, "bound: " + bound + "; all: " + all);
+	}
+
 	private static LoadSimulation simulation(long seed) {
 		return new LoadSimulation(seed, KINDS, REGIONS, 9, 2);
 	}
--- a/masticlane/src/test/java/io/masticlane/quota/RateSharesTests.java
+++ b/masticlane/src/test/java/io/masticlane/quota/RateSharesTests.java
@@ -1,5 +1,6 @@
 package io.masticlane.quota;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.stream.IntStream;
 
 import io.masticlane.plan.OrganisationPlan;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -63,9 +65,49 @@
 		assertWindows(40, simulate(8, 7, organisation(40), (gateway, second) -> 40, true));
 	}
 
+	@DataProvider
+	public Object[][] rates() {
+		return new Object[][] { { 7.0 }, { 14.0 }, { 26.0 }, { 78.0 }, { 134.0 }, { 393.0 } };
+	}
+
+	/**
+	 * All processes of a large fleet are killed at once; the requests that follow spread
+	 * over all gateways, so that few arrive at each.
+	 * @param rate the rate of the organisation
+	 */
+	@Test(dataProvider = "rates")
+	public void anOrganisationWithinItsRateIsRarelyRefusedAfterTheWholeFleetRestarted(double rate) {
+		int[] admitted = simulate(11, 36, organisation(rate), (gateway, second) -> (second == 12) ? 0 : rate / 1.6 / 36,
+				new Restarts(12_000, 36));
+		int requested = total(this.offered, 13, 18);
+		assertTrue(requested - total(admitted, 13, 18) <= 0.15 * requested,
+				"admitted " + total(admitted, 13, 18) + " of " + requested);
+	}
+
+	@Test(dataProvider = "rates")
+	public void admittedRequestsStayWithinRateAndBurstWhenSomeGatewaysRestartUnderOverload(double rate) {
+		IntStream.of(7, 36).forEach((gateways) -> {
+			assertWindowsWithRestarts(rate, gateways, 1);
+			assertWindowsWithRestarts(rate, gateways, gateways / 2);
+		});
+	}
+
+	@Test(dataProvider = "rates")
+	public void admittedRequestsStayWithinRateAndBurstWhenAllGatewaysRestartUnderOverload(double rate) {
+		IntStream.of(7, 36).forEach((gateways) -> assertWindowsWithRestarts(rate, gateways, gateways));
+	}
+
+	private void assertWindowsWithRestarts(double rate, int gateways, int restarting) {
+		IntStream.of(10_000, 11_000, 12_500, 20_000)
+			.forEach((restartAt) -> assertWindows(rate,
+					simulate(12, gateways, organisation(rate),
+							(gateway, second) -> ((second < 10) ? 0.6 : 5) * rate / gateways,
+							new Restarts(restartAt, restarting))));
+	}
+
 	@Test
 	public void anOrganisationWithoutARateIsNeverRefused() {
-		RateShares shares = new RateShares();
+		RateShares shares = new RateShares(() -> 0.5);
 		shares.organisations(List.of(organisation(0)));
 		assertEquals(shares.acquire("north"), 0);
 	}
@@ -84,9 +126,19 @@
 	}
 
 	private int[] simulate(long seed, int gateways, OrganisationPlan organisation, Demand demand, boolean isolated) {
+		return simulate(seed, gateways, organisation, demand, isolated, new Restarts(Integer.MAX_VALUE, 0));
+	}
+
+	private int[] simulate(long seed, int gateways, OrganisationPlan organisation, Demand demand, Restarts restarts) {
+		return simulate(seed, gateways, organisation, demand, false, restarts);
+	}
+
+	private int[] simulate(long seed, int gateways, OrganisationPlan organisation, Demand demand, boolean isolated,
+			Restarts restarts) {
 		Arrays.fill(this.offered, 0);
 		Random random = new Random(seed);
-		List<RateShares> fleet = IntStream.range(0, gateways).mapToObj((index) -> new RateShares()).toList();
+		List<RateShares> fleet = new ArrayList<>(
+				IntStream.range(0, gateways).mapToObj((index) -> new RateShares(random::nextDouble)).toList());
 		fleet.forEach((shares) -> {
 			shares.organisations(List.of(organisation));
 			shares.divide(gateways, isolated ? 1 : gateways, 0);
@@ -95,26 +147,38 @@
 		for (int millis = 1; millis < SECONDS * 1_000; millis++) {
 			int second = millis / 1_000;
 			for (int gateway = 0; gateway < gateways; gateway++) {
+				if (restarts.isDown(gateway, millis)) {
+					continue;
+				}
+				if (restarts.isStarting(gateway, millis)) {
+					RateShares replacement = new RateShares(random::nextDouble);
+					replacement.organisations(List.of(organisation));
+					replacement.divide(gateways, 1, TimeUnit.MILLISECONDS.toNanos(millis));
+					fleet.set(gateway, replacement);
+				}
 				if (random.nextDouble() < demand.perSecond(gateway, second) / 1_000) {
 					this.offered[second]++;
 					admitted[second] += (fleet.get(gateway).acquire("north") == 0) ? 1 : 0;
 				}
 				if ((millis + gateway * 67) % REPORT_MILLIS == 0) {
-					report(fleet, gateway, isolated, TimeUnit.MILLISECONDS.toNanos(millis));
+					report(fleet, gateway, isolated, restarts, millis);
 				}
 			}
 		}
 		return admitted;
 	}
 
-	private static void report(List<RateShares> fleet, int gateway, boolean isolated, long now) {
+	private static void report(List<RateShares> fleet, int gateway, boolean isolated, Restarts restarts, int millis) {
 		RateShares sender = fleet.get(gateway);
-		sender.divide(fleet.size(), isolated ? 1 : fleet.size(), now);
+		int fresh = isolated ? 1
+				: (int) IntStream.range(0, fleet.size()).filter((other) -> !restarts.isSilent(other, millis)).count();
+		sender.divide(fleet.size(), fresh, TimeUnit.MILLISECONDS.toNanos(millis));
 		Map<String, Long> admitted = sender.admittedCounts(false);
 		Map<String, Long> refused = sender.refusedCounts();
+		String incarnation = restarts.incarnation(gateway, millis);
 		IntStream.range(0, fleet.size())
-			.filter((other) -> other != gateway && !isolated)
-			.forEach((other) -> fleet.get(other).reportReceived("entry-" + gateway, "1", admitted, refused));
+			.filter((other) -> other != gateway && !isolated && !restarts.isDown(other, millis))
+			.forEach((other) -> fleet.get(other).reportReceived("entry-" + gateway, incarnation, admitted, refused));
 	}
 
 	private static OrganisationPlan organisation(double rate) {
@@ -125,6 +189,36 @@
 		return IntStream.range(from, to).map((second) -> admitted[second]).sum();
 	}
 
+	/**
+	 * The restart of the first gateways of a fleet.
+	 *
+	 * @param atMillis the time at which their processes are killed
+	 * @param gateways the number of gateways
+	 */
+	private record Restarts(int atMillis, int gateways) {
+
+		private static final int DOWN_MILLIS = 1_200;
+
+		private static final int SILENT_MILLIS = 1_900;
+
+		boolean isDown(int gateway, int millis) {
+			return gateway < this.gateways && millis >= this.atMillis && millis - this.atMillis < DOWN_MILLIS;
+		}
+
+		boolean isStarting(int gateway, int millis) {
+			return gateway < this.gateways && millis - this.atMillis == DOWN_MILLIS;
+		}
+
+		boolean isSilent(int gateway, int millis) {
+			return gateway < this.gateways && millis >= this.atMillis && millis - this.atMillis < SILENT_MILLIS;
+		}
+
+		String incarnation(int gateway, int millis) {
+			return (gateway < this.gateways && millis >= this.atMillis) ? "2" : "1";
+		}
+
+	}
+
 	/**
 	 * The rate of requests to a gateway.
 	 */
