Let requests wait for the first plan and servers after a start

Cause: a gateway listens 0.25 to 0.75 s before it has read its plan and its servers, and refused what came in between; callers retry once. Requests wait up to a second, or a quarter of their caller's time, at most 512.

--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -26,6 +26,8 @@
 	 */
 	private static final int LOG_SAMPLING_INTERVAL = 64;
 
+	private static final int MAXIMUM_STARTUP_REQUESTS = 512;
+
 	private final EventLoop loop;
 
 	private final Dialect dialect;
@@ -54,6 +56,8 @@
 
 	private final ConnectionPool servers;
 
+	private final StartupQueue startupQueue = new StartupQueue(MAXIMUM_STARTUP_REQUESTS);
+
 	private TrafficPlan plan = TrafficPlan.empty();
 
 	private boolean leaving;
@@ -161,6 +165,10 @@
 		return this.servers;
 	}
 
+	StartupQueue startupQueue() {
+		return this.startupQueue;
+	}
+
 	TrafficPlan plan() {
 		return this.plan;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -75,6 +75,11 @@
 	 */
 	static final long PLAN_QUERY_DELAY_MILLIS = 900;
 
+	/**
+	 * How long a request may wait until the gateway has read its plan and its servers.
+	 */
+	static final long STARTUP_WAIT_MILLIS = 1_000;
+
 	/**
 	 * The interval of periodic updates.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -48,6 +49,8 @@
 
 	private final Consumer<List<Gateway>> membersChanged;
 
+	private final long entryDelayNanos;
+
 	private Set<String> evacuatedDataCentres = Set.of();
 
 	private final Map<String, String> rejections = new HashMap<>();
@@ -57,13 +60,14 @@
 	private boolean loaded;
 
 	GatewayView(GatewayContext gateway, GatewayFleet fleet, String self, UnaryOperator<String> regions,
-			Consumer<List<Gateway>> membersChanged) {
+			Consumer<List<Gateway>> membersChanged, long entryDelayMillis) {
 		this.gateway = gateway;
 		this.fleet = fleet;
 		this.self = self;
 		this.regions = regions;
 		this.events = gateway.events();
 		this.membersChanged = membersChanged;
+		this.entryDelayNanos = TimeUnit.MILLISECONDS.toNanos(entryDelayMillis);
 	}
 
 	@Override
@@ -91,6 +95,7 @@
 			}
 		});
 		this.loaded = true;
+		openIfReady();
 	}
 
 	@Override
@@ -151,6 +156,7 @@
 				this.planDocument = document;
 				this.gateway.plan(received);
 				this.events.record(Event.PLAN_IN_FORCE, received.version(), previous, source);
+				openIfReady();
 			}
 		}
 		catch (IllegalArgumentException ex) {
@@ -251,7 +257,7 @@
 		else {
 			this.gateway.placement()
 				.server(server.service(), server.id())
-				.ifPresent((state) -> state.entry(server, now));
+				.ifPresent((state) -> state.entry(server, this.entryDelayNanos, now));
 		}
 		if (previous == null || relocated || previous.leaving() != server.leaving()
 				|| previous.startedAt() != server.startedAt()
@@ -292,6 +298,12 @@
 		}
 	}
 
+	private void openIfReady() {
+		if (this.loaded && this.gateway.plan().version() != TrafficPlan.NO_VERSION) {
+			this.gateway.startupQueue().open();
+		}
+	}
+
 	/**
 	 * Records the rejection of a document, once for each key and reason: its writer may
 	 * repeat it with every heartbeat.
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -70,6 +70,12 @@
 	 */
 	private static final long ABANDONED_ATTEMPT_TIMEOUT_MILLIS = 5_000;
 
+	/**
+	 * The divisor of the caller's timeout that a request may wait for the start of the
+	 * gateway.
+	 */
+	private static final int STARTUP_WAIT_DIVISOR = 4;
+
 	/**
 	 * The delay before a retry after a refusal that load does not determine, in
 	 * milliseconds.
@@ -114,6 +120,8 @@
 
 	private boolean mayHaveRun;
 
+	private boolean waiting;
+
 	private boolean tokenAcquired;
 
 	private boolean attemptOpen;
@@ -129,8 +137,31 @@
 	@Override
 	public void start() {
 		this.gateway.requestStarted();
-		this.plan = this.gateway.plan();
 		this.callerRequest = this.gateway.dialect().request(this.request.headers());
+		this.waiting = this.gateway.startupQueue().offer(this::resume);
+		if (this.waiting) {
+			this.deadlineTimer = this.gateway.loop()
+				.schedule(this::resume, Math.min(GatewayTimes.STARTUP_WAIT_MILLIS,
+						this.callerRequest.timeoutMillis() / STARTUP_WAIT_DIVISOR), TimeUnit.MILLISECONDS);
+		}
+		else {
+			process();
+		}
+	}
+
+	/**
+	 * Continues a request that waited for the gateway's start, once.
+	 */
+	private void resume() {
+		if (this.waiting) {
+			this.waiting = false;
+			this.deadlineTimer.cancel(false);
+			process();
+		}
+	}
+
+	private void process() {
+		this.plan = this.gateway.plan();
 		this.events = new RequestEvents(this.gateway.events(), this.callerRequest.id(), this.plan.version(),
 				this.arrivedAt);
 		if (this.plan.version() == TrafficPlan.NO_VERSION) {
@@ -164,6 +195,11 @@
 		if (this.finished) {
 			return;
 		}
+		if (this.waiting) {
+			this.waiting = false;
+			finish("abandoned");
+			return;
+		}
 		boolean cancellable = this.route == null || this.route.idempotent() || !this.attemptOpen
 				|| !this.call.isWritten();
 		this.events.abandoned(serverName(), cancellable);
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -19,6 +19,12 @@
 	 */
 	private static final long REPORT_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+	/**
+	 * The requests for each slot of a saturated server: the running ones and as many in
+	 * its queue.
+	 */
+	private static final int SATURATED_REQUESTS_PER_SLOT = 2;
+
 	/**
 	 * The number of objects that are recorded for each server; servers keep fewer warm.
 	 */
@@ -47,7 +53,7 @@
 	 * time may have been written before the server became unreachable. It covers a read
 	 * of the store's changes and the pause between reads.
 	 */
-	private static final long ENTRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
+	private static final long ENTRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
 	/**
 	 * The period after a server was unreachable in which it may be cold if no entry
@@ -80,6 +86,8 @@
 
 	private final Deque<Long> coldRequestTimes = new ArrayDeque<>();
 
+	private final Slowness slowness = new Slowness();
+
 	private RegisteredServer entry;
 
 	private final String region;
@@ -96,6 +104,8 @@
 
 	private boolean hasReport;
 
+	private boolean saturated;
+
 	private long coldUntil;
 
 	private boolean cold;
@@ -137,13 +147,25 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void entry(RegisteredServer updated, long now) {
+		entry(updated, ENTRY_DELAY_NANOS, now);
+	}
+
+	/**
+	 * Updates the entry of the server.
+	 * @param updated the new entry
+	 * @param readDelayNanos the longest time between the writing of an entry and its
+	 * reading, in nanoseconds
+	 * @param now the current time in nanoseconds
+	 */
+	public void entry(RegisteredServer updated, long readDelayNanos, long now) {
 		boolean restarted = this.entry != null && this.entry.startedAt() != updated.startedAt();
-		if (restarted || now - this.unreachableAt > ENTRY_DELAY_NANOS) {
+		if (restarted || now - this.unreachableAt > readDelayNanos) {
 			this.possiblyCold = false;
 		}
 		if (restarted) {
 			this.servedAt.clear();
 			this.hasReport = false;
+			this.saturated = false;
 			this.consecutiveFailures = 0;
 			this.failureRatio = 0;
 			this.ejected = false;
@@ -190,6 +212,7 @@
 	 */
 	public void recordReportedLoad(int requests, long now) {
 		this.hasReport = true;
+		this.saturated = false;
 		this.reportedLoad = requests;
 		this.inFlightAtReport = this.inFlight;
 		this.reportedAt = now;
@@ -238,15 +261,26 @@
 	/**
 	 * Records that no response was received in time. A server that responded to other
 	 * requests in the meantime is slow rather than unresponsive, which is not a failure.
+	 * Without a recent report, its slots and its queue are taken by requests of other
+	 * gateways.
 	 * @param sentAt the time at which the request was sent, in nanoseconds
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordTimeout(long sentAt, long now) {
+		this.saturated |= !hasRecentReport(now);
 		if (!this.hasResponded || this.lastResponseAt - sentAt < 0) {
 			recordFailure(now);
 		}
 	}
 
+	/**
+	 * Returns how much longer the server takes than expected.
+	 * @return the slowness of the server
+	 */
+	Slowness slowness() {
+		return this.slowness;
+	}
+
 	/**
 	 * Records that the server was unreachable. A server that has just responded refuses
 	 * connections because of its load and is not considered lost.
@@ -315,13 +349,16 @@
 
 	/**
 	 * Estimates the number of requests that the server is processing or has queued for
-	 * all gateways.
+	 * all gateways. A saturated server counts as full while one request is in flight,
+	 * whose response would report the load: if each gateway counted its own requests
+	 * only, together they would keep the server's queue longer than any request may wait.
 	 * @param now the current time in nanoseconds
 	 * @return the estimated number of requests
 	 */
 	public int load(long now) {
-		if (!this.hasReport || now - this.reportedAt > REPORT_VALID_NANOS) {
-			return this.inFlight;
+		if (!hasRecentReport(now)) {
+			return (this.saturated && this.inFlight > 0) ? SATURATED_REQUESTS_PER_SLOT * this.entry.slots()
+					: this.inFlight;
 		}
 		return Math.max(this.inFlight, this.reportedLoad + this.inFlight - this.inFlightAtReport);
 	}
@@ -372,6 +409,10 @@
 		return this.hash;
 	}
 
+	private boolean hasRecentReport(long now) {
+		return this.hasReport && now - this.reportedAt <= REPORT_VALID_NANOS;
+	}
+
 	private void eject(long now) {
 		this.ejected = true;
 		this.ejectedUntil = now + (FIRST_EJECTION_NANOS << Math.min(MAXIMUM_EJECTION_SHIFT, this.ejections));
