Keep a small region serving the requests that no other region may serve

Cause: an organisation bound to the smallest region asks for more than its two servers can end. Requests were admitted in the hope of warm objects and timed out, so that no object got warm; without answers no load was reported, each host counted its own requests only, and each object was spread over both servers.

--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -256,7 +256,7 @@
 		double latestMillis = this.gateway.admission()
 			.latestResponseMillis(this.route.objectiveMillis() - ageMillis(), remainingMillis(),
 					new Entitlement(this.route, this.organisation).priority(), congested);
-		double expectedMillis = congested ? chosen.expectedWarmMillis() : chosen.expectedMillis();
+		double expectedMillis = chosen.admissionMillis(congested, !this.placementRequest.allowedRegions().isEmpty());
 		if (expectedMillis > latestMillis && !chosen.slotFree()) {
 			this.gateway.regionFlow().recordRefused(chosen.server().region());
 			abort(congested ? "crowded" : "load", expectedMillis, latestMillis,
@@ -323,10 +323,12 @@
 		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
 		server.recordResponse(this.placementRequest.object(), success || response.status().code() < SERVER_ERROR_STATUS,
 				this.sentAt, now);
-		if (success && this.choice.slotFree()) {
-			this.gateway.placement()
-				.serviceTimes(this.route)
-				.recordSample((now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1), this.choice.warm());
+		if (success) {
+			double millis = sentMillis(now);
+			this.choice.recordResponseTime(millis, now);
+			if (this.choice.slotFree()) {
+				this.gateway.placement().serviceTimes(this.route).recordSample(millis, this.choice.warm());
+			}
 		}
 		this.gateway.metrics().attemptFinished(success ? "served" : "failed");
 		if (this.finished) {
@@ -421,6 +423,7 @@
 		if (this.attemptOpen) {
 			ServerState unresponsive = this.choice.server();
 			unresponsive.recordTimeout(this.sentAt, System.nanoTime());
+			this.choice.recordTimeout(sentMillis(System.nanoTime()), System.nanoTime());
 			this.gateway.connections().closeIdle(unresponsive.entry().address());
 			if (this.route.idempotent() || !this.call.isWritten()) {
 				endAttempt();
@@ -503,6 +506,10 @@
 		return Math.min(callerMillis, routeMillis) - ageMillis();
 	}
 
+	private double sentMillis(long now) {
+		return (now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+	}
+
 	private long ageMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -41,6 +41,12 @@
 	 */
 	private static final double RANK_PENALTY = 0.5;
 
+	/**
+	 * The slowness of an object's server above which other servers receive the object
+	 * although the region is congested.
+	 */
+	private static final double SPREADING_SLOWNESS = 4;
+
 	/**
 	 * The period after its discovery in which a server is assumed to hold no warm
 	 * objects.
@@ -302,12 +308,12 @@
 			.toList();
 		List<ServerState> ranked = withAssignedFirst(request, ranked(request, candidates), now);
 		List<Choice> choices = new ArrayList<>();
+		boolean congested = !ranked.isEmpty() && isCongested(request.service(), ranked.get(0).region());
+		boolean spread = !congested || ranked.get(0).slowness().factor(now) > SPREADING_SLOWNESS;
+		// Where no server has free slots, another one would only hold the object as well.
 		ranked.stream()
-			.limit(CANDIDATES_PER_OBJECT)
-			.forEach((server) -> choices.add(new Choice(server, expectedMillis(request, server, choices.size(), now),
-					server.load(now) < server.entry().slots(), server.hasServed(request.object(), WARM_NANOS, now),
-					queueMillis(request, server, now) + serviceTimes(request.route()).expectedMillis(true),
-					Reason.OWN)));
+			.limit(spread ? CANDIDATES_PER_OBJECT : 1)
+			.forEach((server) -> choices.add(choice(request, server, choices.size(), now)));
 		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
 	}
 
@@ -342,6 +348,17 @@
 		return ranked.stream().map(Ranked::server).toList();
 	}
 
+	private Choice choice(Request request, ServerState server, int rank, long now) {
+		boolean served = server.hasServed(request.object(), WARM_NANOS, now);
+		ServiceTimes times = serviceTimes(request.route());
+		double queueing = queueMillis(request, server, now);
+		double usualMillis = queueing + times.expectedMillis(served);
+		double slowMillis = (queueing + times.expectedMillis(true)) * server.slowness().factor(now);
+		return new Choice(server, expectedMillis(request, server, rank, now), server.load(now) < server.entry().slots(),
+				served, queueing + times.expectedMillis(true), usualMillis, Math.max(usualMillis, slowMillis),
+				Reason.OWN);
+	}
+
 	private double queueMillis(Request request, ServerState server, long now) {
 		int slots = Math.max(1, server.entry().slots());
 		double queued = Math.max(0, server.load(now) + 1 - slots);
@@ -355,7 +372,8 @@
 		double queueing = queueMillis(request, server, now);
 		double rankPenalty = request.route().sticky()
 				? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true)) : 0;
-		return queueing + rankPenalty + times.expectedMillis(warm || !request.route().sticky())
+		return rankPenalty
+				+ (queueing + times.expectedMillis(warm || !request.route().sticky())) * server.slowness().factor(now)
 				+ (server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS);
 	}
 
@@ -415,10 +433,49 @@
 	 * for which objects are assumed to stay warm
 	 * @param expectedWarmMillis the expected response time if the object is warm on the
 	 * server
+	 * @param usualMillis the response time that is usual for a server that is not slow,
+	 * with the same queue
+	 * @param cautiousMillis the response time if the object is warm only where this
+	 * gateway knows it, and the server is as slow as recently
 	 * @param reason why the server's region was chosen
 	 */
 	public record Choice(ServerState server, double expectedMillis, boolean slotFree, boolean warm,
-			double expectedWarmMillis, Reason reason) {
+			double expectedWarmMillis, double usualMillis, double cautiousMillis, Reason reason) {
+
+		/**
+		 * Returns the expected response time that decides about the admission of the
+		 * request. Where servers are congested, objects are assumed to be warm, unless
+		 * the request may be served in certain regions only: such requests cannot be
+		 * relieved by other regions, and if they were admitted in the hope of warm
+		 * objects, all would time out before any object is warm.
+		 * @param congested whether the servers of the region are congested
+		 * @param bound whether only certain regions may serve the request
+		 * @return the time in milliseconds
+		 */
+		public double admissionMillis(boolean congested, boolean bound) {
+			if (!congested) {
+				return this.expectedMillis;
+			}
+			return bound ? this.cautiousMillis : this.expectedWarmMillis;
+		}
+
+		/**
+		 * Records the response to the request.
+		 * @param millis the response time
+		 * @param now the current time in nanoseconds
+		 */
+		public void recordResponseTime(double millis, long now) {
+			this.server.slowness().recordResponse(millis, this.usualMillis, now);
+		}
+
+		/**
+		 * Records that the request had no response in time.
+		 * @param millis the time since the request was sent
+		 * @param now the current time in nanoseconds
+		 */
+		public void recordTimeout(double millis, long now) {
+			this.server.slowness().recordTimeout(millis, this.usualMillis, now);
+		}
 
 		/**
 		 * Returns this choice with another reason.
@@ -427,7 +484,7 @@
 		 */
 		public Choice withReason(Reason other) {
 			return new Choice(this.server, this.expectedMillis, this.slotFree, this.warm, this.expectedWarmMillis,
-					other);
+					this.usualMillis, this.cautiousMillis, other);
 		}
 
 	}
