Count the way to another region in the usual response time

Cause: the response time of a server of another region contains the round trip, and the time that it was compared with did not, so that short requests made the server look slow.

--- a/masticlane/src/main/java/io/masticlane/gateway/StartupQueue.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StartupQueue.java
@@ -43,12 +43,4 @@
 		}
 	}
 
-	/**
-	 * Returns whether the gateway is ready.
-	 * @return whether the queue was opened
-	 */
-	boolean isOpen() {
-		return this.open;
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -352,13 +352,17 @@
 		boolean served = server.hasServed(request.object(), WARM_NANOS, now);
 		ServiceTimes times = serviceTimes(request.route());
 		double queueing = queueMillis(request, server, now);
-		double usualMillis = queueing + times.expectedMillis(served);
+		double usualMillis = queueing + times.expectedMillis(served) + roundTripMillis(server);
 		double slowMillis = (queueing + times.expectedMillis(true)) * server.slowness().factor(now);
 		return new Choice(server, expectedMillis(request, server, rank, now), server.load(now) < server.entry().slots(),
 				served, queueing + times.expectedMillis(true), usualMillis, Math.max(usualMillis, slowMillis),
 				Reason.OWN);
 	}
 
+	private double roundTripMillis(ServerState server) {
+		return server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS;
+	}
+
 	private double queueMillis(Request request, ServerState server, long now) {
 		int slots = Math.max(1, server.entry().slots());
 		double queued = Math.max(0, server.load(now) + 1 - slots);
@@ -374,7 +378,7 @@
 				? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true)) : 0;
 		return rankPenalty
 				+ (queueing + times.expectedMillis(warm || !request.route().sticky())) * server.slowness().factor(now)
-				+ (server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS);
+				+ roundTripMillis(server);
 	}
 
 	private boolean hasColdCapacity(ServerState server, Request request, long now) {
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -187,6 +187,37 @@
 		assertEquals(chosen(placement, 5, Set.of()), first.entry().id());
 	}
 
+	@Test
+	public void aServerOfAnotherRegionIsNotSlowBecauseOfTheWayThere() {
+		Placement placement = placement("north", 1, 0);
+		Placement.Choice choice = placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow();
+		IntStream.range(0, 20).forEach((each) -> {
+			placement.serviceTimes(this.route).recordSample(30, true);
+			placement.serviceTimes(this.route).recordSample(30, false);
+		});
+		IntStream.range(0, 50).forEach((each) -> {
+			placement.serviceTimes(this.route).recordSample(30, false);
+			placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow().recordResponseTime(105, LATER);
+		});
+		assertEquals(choice.server().region(), "west");
+		assertTrue(choice.server().slowness().factor(LATER) < 1.5,
+				"slowness " + choice.server().slowness().factor(LATER));
+	}
+
+	@Test
+	public void aServerWhoseRequestsTimeOutCountsAsFullWhileOneIsInFlight() {
+		ServerState server = new ServerState(server("west-0", "west", false, 0), "west", 0);
+		server.recordRequestSent(LATER);
+		assertEquals(server.load(LATER), 1);
+		server.recordTimeout(LATER, LATER + TimeUnit.SECONDS.toNanos(1));
+		assertTrue(server.load(LATER) > server.entry().slots(), "load " + server.load(LATER));
+		server.recordRequestEnded();
+		assertEquals(server.load(LATER), 0);
+		server.recordReportedLoad(3, LATER);
+		server.recordRequestSent(LATER);
+		assertEquals(server.load(LATER), 4);
+	}
+
 	private Placement placement(String region, int west, int north) {
 		Placement placement = new Placement(region, 1.5, 5);
 		IntStream.range(0, west)
