--- a/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
@@ -46,6 +46,21 @@
 		assertTrue(simulation.total(10, 40).inTimeFraction() >= 0.9, simulation.total(10, 40).toString());
 	}
 
+	/**
+	 * An organisation that only the smallest region may serve must not starve because of
+	 * requests that any region could serve.
+	 * @param seed the seed
+	 */
+	@Test(dataProvider = "seeds")
+	public void anOrganisationBoundToASmallRegionIsServedThere(long seed) {
+		LoadSimulation simulation = simulation(seed);
+		simulation.bind(0.1, Set.of("north"));
+		simulation.run(40, (second) -> 1);
+		LoadSimulation.Outcomes all = simulation.total(0, 40);
+		LoadSimulation.Outcomes bound = simulation.boundOutcomes();
+		assertTrue(bound.servedFraction() >= all.servedFraction() - 0.2, "bound: " + bound + "; all: " + all);
+	}
+
 	/**
 	 * An organisation that only the smallest region may serve asks for more than its
 	 * slots, so that its objects are never warm if requests are admitted that end too
--- a/masticlane/src/test/java/io/masticlane/quota/RateSharesTests.java
+++ b/masticlane/src/test/java/io/masticlane/quota/RateSharesTests.java
@@ -80,7 +80,7 @@
 		int[] admitted = simulate(11, 36, organisation(rate), (gateway, second) -> (second == 12) ? 0 : rate / 1.6 / 36,
 				new Restarts(12_000, 36));
 		int requested = total(this.offered, 13, 18);
-		assertTrue(requested - total(admitted, 13, 18) <= 0.15 * requested,
+		assertTrue(requested - total(admitted, 13, 18) <= 0.05 * requested,
 				"admitted " + total(admitted, 13, 18) + " of " + requested);
 	}
 
