--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -142,7 +142,6 @@
 	}
 
 	private void begin(Object message) {
-		this.timeouts.requestReceived();
 		if (message instanceof FullHttpRequest request) {
 			begin(request);
 		}
@@ -156,6 +155,7 @@
 	private void beginNext() {
 		Object next = this.pipelined.poll();
 		if (next != null) {
+			this.timeouts.requestReceived();
 			begin(next);
 			ReferenceCountUtil.release(next);
 		}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -119,10 +119,11 @@
 		this.events = events;
 		this.fleet = new GatewayFleet(settings.host());
 		this.gateway = new GatewayContext(this.loop, platform.dialect(), settings, events, this.fleet);
+		long followPauseMillis = GatewayTimes.followPauseMillis(settings);
 		this.view = new GatewayView(this.gateway, this.fleet, settings.host(), this::region, this::connectPeers,
-				GatewayTimes.followPauseMillis(settings) + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
+				followPauseMillis + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
-		this.follower = new StoreFollower(this.loop, store, this.view, GatewayTimes.followPauseMillis(settings));
+		this.follower = new StoreFollower(this.loop, store, this.view, followPauseMillis);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
 				(lease, reason) -> events.record(Event.REGISTRATION_LOST, settings.host(), lease, reason));
 		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower,
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -324,7 +324,7 @@
 		server.recordResponse(this.placementRequest.object(), success || response.status().code() < SERVER_ERROR_STATUS,
 				this.sentAt, now);
 		if (success) {
-			double millis = sentMillis(now);
+			double millis = (now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1);
 			this.choice.recordResponseTime(millis, now);
 			if (this.choice.slotFree()) {
 				this.gateway.placement().serviceTimes(this.route).recordSample(millis, this.choice.warm());
@@ -422,8 +422,7 @@
 		boolean written = this.mayHaveRun || this.attemptOpen && this.call.isWritten();
 		if (this.attemptOpen) {
 			ServerState unresponsive = this.choice.server();
-			unresponsive.recordTimeout(this.sentAt, System.nanoTime());
-			this.choice.recordTimeout(sentMillis(System.nanoTime()), System.nanoTime());
+			this.choice.recordTimeout(this.sentAt, System.nanoTime());
 			this.gateway.connections().closeIdle(unresponsive.entry().address());
 			if (this.route.idempotent() || !this.call.isWritten()) {
 				endAttempt();
@@ -506,10 +505,6 @@
 		return Math.min(callerMillis, routeMillis) - ageMillis();
 	}
 
-	private double sentMillis(long now) {
-		return (now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1);
-	}
-
 	private long ageMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -349,36 +349,26 @@
 	}
 
 	private Choice choice(Request request, ServerState server, int rank, long now) {
-		boolean served = server.hasServed(request.object(), WARM_NANOS, now);
 		ServiceTimes times = serviceTimes(request.route());
-		double queueing = queueMillis(request, server, now);
-		double usualMillis = queueing + times.expectedMillis(served) + roundTripMillis(server);
-		double slowMillis = (queueing + times.expectedMillis(true)) * server.slowness().factor(now);
-		return new Choice(server, expectedMillis(request, server, rank, now), server.load(now) < server.entry().slots(),
-				served, queueing + times.expectedMillis(true), usualMillis, Math.max(usualMillis, slowMillis),
-				Reason.OWN);
-	}
-
-	private double roundTripMillis(ServerState server) {
-		return server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS;
+		boolean served = server.hasServed(request.object(), WARM_NANOS, now);
+		boolean sticky = request.route().sticky();
+		boolean warm = !sticky || served || rank == 0 && server.nanosSinceDiscovery(now) > NEW_SERVER_NANOS;
+		double queueing = queueMillis(times, server, now);
+		double rankPenalty = sticky ? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true))
+				: 0;
+		double slowness = server.slowness().factor(now);
+		double roundTrip = server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS;
+		double warmMillis = queueing + times.expectedMillis(true);
+		double usualMillis = queueing + times.expectedMillis(served) + roundTrip;
+		return new Choice(server, rankPenalty + (queueing + times.expectedMillis(warm)) * slowness + roundTrip,
+				server.load(now) < server.entry().slots(), served, warmMillis, usualMillis,
+				Math.max(usualMillis, warmMillis * slowness), Reason.OWN);
 	}
 
-	private double queueMillis(Request request, ServerState server, long now) {
+	private static double queueMillis(ServiceTimes times, ServerState server, long now) {
 		int slots = Math.max(1, server.entry().slots());
 		double queued = Math.max(0, server.load(now) + 1 - slots);
-		return queued * serviceTimes(request.route()).expectedMillis(true) / slots;
-	}
-
-	private double expectedMillis(Request request, ServerState server, int rank, long now) {
-		ServiceTimes times = serviceTimes(request.route());
-		boolean warm = server.hasServed(request.object(), WARM_NANOS, now)
-				|| rank == 0 && server.nanosSinceDiscovery(now) > NEW_SERVER_NANOS;
-		double queueing = queueMillis(request, server, now);
-		double rankPenalty = request.route().sticky()
-				? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true)) : 0;
-		return rankPenalty
-				+ (queueing + times.expectedMillis(warm || !request.route().sticky())) * server.slowness().factor(now)
-				+ roundTripMillis(server);
+		return queued * times.expectedMillis(true) / slots;
 	}
 
 	private boolean hasColdCapacity(ServerState server, Request request, long now) {
@@ -474,11 +464,13 @@
 
 		/**
 		 * Records that the request had no response in time.
-		 * @param millis the time since the request was sent
+		 * @param sentAt the time at which the request was sent, in nanoseconds
 		 * @param now the current time in nanoseconds
 		 */
-		public void recordTimeout(double millis, long now) {
-			this.server.slowness().recordTimeout(millis, this.usualMillis, now);
+		public void recordTimeout(long sentAt, long now) {
+			this.server.recordTimeout(sentAt, now);
+			this.server.slowness()
+				.recordTimeout((now - sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1), this.usualMillis, now);
 		}
 
 		/**
--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -615,8 +615,7 @@
 					count(request.callerRequest(), (outcomes) -> outcomes.late += inTime ? 0 : 1);
 				}
 				else if (processed) {
-					state.recordTimeout(nanos(request.sentAt()), nanos(later));
-					request.choice().recordTimeout(later - request.sentAt(), nanos(later));
+					request.choice().recordTimeout(nanos(request.sentAt()), nanos(later));
 					count(request.callerRequest(), (outcomes) -> outcomes.timedOut++);
 				}
 				else {
