--- a/review/harness/EarlyConnection.java
+++ b/review/harness/EarlyConnection.java
@@ -11,7 +11,7 @@
  * same connections once the gateway has long been in touch again. All bodies are far
  * below the limit of the configuration.
  */
-final class EarlyConnection {
+public final class EarlyConnection {
 
 	private static final int CALLERS = 12;
 
@@ -37,6 +37,12 @@
 	private EarlyConnection() {
 	}
 
+	/**
+	 * Runs the case, and exits with 1 if the rule was broken, 0 if it held and 2 if the
+	 * case could not run.
+	 * @param arguments the folder for the record
+	 * @throws Exception if the case cannot run
+	 */
 	public static void main(String[] arguments) throws Exception {
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[0], "record.txt"));
--- a/review/harness/Gateway.java
+++ b/review/harness/Gateway.java
@@ -47,9 +47,9 @@
 				"Listen.Front", "127.0.0.1:" + this.ports[0], "Listen.Ready", "127.0.0.1:" + this.ports[1],
 				"Listen.Directory", "127.0.0.1:" + this.ports[2], "Ip", "127.0.0.1", "PortRange.0",
 				String.valueOf(this.ports[3]), "Platform.Address", store.address()));
-		values.putAll(Map.of("Platform.MinTtlS", "1", "Limits.MaxFds", "4100", "Bounds.GraceS", "6",
-				"Bounds.ttl_max_s", "5", "Bounds.RetryBudgetRatio", "0.2", "Bounds.BudgetSlack", "62",
-				"Bounds.ColdOvershoot", "1.5", "Bounds.ColdSlack", "5"));
+		values.putAll(Map.of("Platform.MinTtlS", "1", "Limits.MaxFds", "4100", "Bounds.GraceS", "6", "Bounds.ttl_max_s",
+				"5", "Bounds.RetryBudgetRatio", "0.2", "Bounds.BudgetSlack", "62", "Bounds.ColdOvershoot", "1.5",
+				"Bounds.ColdSlack", "5"));
 		values.putAll(Map.of("Bounds.DrainS", "2.5", "Bounds.ConfigApplyS", "2.5"));
 		String template = Files.readString(Path.of("deploy/settings.template"))
 			.replaceAll("(?m)^regions=.*$", "regions=howrah:bengal-west,gazipur:bengal-east");
--- a/review/harness/Instance.java
+++ b/review/harness/Instance.java
@@ -71,10 +71,11 @@
 	synchronized void register(Store store, String state) {
 		this.sequence++;
 		store.put("servers/" + this.id,
-				String.format("{\"Address\":\"127.0.0.1:%d\",\"born\":1764900000000,\"Info\":{\"Service\":\"%s\","
-						+ "\"Version\":\"v1\",\"Zone\":\"howrah\",\"Slots\":%d},\"Status\":{\"State\":\"%s\","
-						+ "\"Seq\":%d,\"ColdRemainingS\":0}}", this.listener.getLocalPort(), this.service, this.slots,
-						state, this.sequence));
+				String.format(
+						"{\"Address\":\"127.0.0.1:%d\",\"born\":1764900000000,\"Info\":{\"Service\":\"%s\","
+								+ "\"Version\":\"v1\",\"Zone\":\"howrah\",\"Slots\":%d},\"Status\":{\"State\":\"%s\","
+								+ "\"Seq\":%d,\"ColdRemainingS\":0}}",
+						this.listener.getLocalPort(), this.service, this.slots, state, this.sequence));
 	}
 
 	@Override
--- a/review/harness/PlannedStop.java
+++ b/review/harness/PlannedStop.java
@@ -13,7 +13,7 @@
  * more than three seconds after SIGTERM, and their instances answer within the grace
  * period.
  */
-final class PlannedStop {
+public final class PlannedStop {
 
 	private static final int CALLERS = 8;
 
@@ -44,6 +44,12 @@
 		this.record = record;
 	}
 
+	/**
+	 * Runs the case, and exits with 1 if the rule was broken, 0 if it held and 2 if the
+	 * case could not run.
+	 * @param arguments the folder for the record
+	 * @throws Exception if the case cannot run
+	 */
 	public static void main(String[] arguments) throws Exception {
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[0], "record.txt"));
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -30,8 +30,7 @@
 
 	private static final int PAGE_ITEMS = 500;
 
-	private static final Pattern PUT = Pattern
-		.compile("\"Key\":\"([^\"]+)\",\"Value\":\"([^\"]*)\",\"Lease\":(\\d+)");
+	private static final Pattern PUT = Pattern.compile("\"Key\":\"([^\"]+)\",\"Value\":\"([^\"]*)\",\"Lease\":(\\d+)");
 
 	private static final Pattern TIME_TO_LIVE = Pattern.compile("\"TtlS_time\":([0-9.]+)");
 
@@ -117,8 +116,8 @@
 					+ (found.size() > PAGE_ITEMS) + ",\"At\":" + this.revision + "}");
 		}
 		if (path.equals("/v1/kv-watch")) {
-			return new Answer(200, watch(prefix, Long.parseLong(query.get("after")),
-					Long.parseLong(query.get("WaitMs"))));
+			return new Answer(200,
+					watch(prefix, Long.parseLong(query.get("after")), Long.parseLong(query.get("WaitMs"))));
 		}
 		if (path.equals("/v1/kv-lease")) {
 			Matcher matcher = TIME_TO_LIVE.matcher(body);
