Refuse requests that a stopping gateway cannot complete

Cause: the gateway accepted requests for 3.8 s after SIGTERM and gave up on those in flight 0.6 s before SIGKILL. Neither time depended on the other, on the grace period or on what the request's caller and route allow.

On the same path: requests read behind another one on their connection were dropped when the stop closed it, a request that arrived while the last response was being written was sent to a server, and requests in flight at the end got no response.

StopSchedule derives all times from the grace period. A request begun while look-ups are valid is sent to a server if it will probably end in time, a later one only if it certainly does; the others are refused at once, so "not run" is true. Servers get no more time than the gateway has left. What is in flight at the end is answered with 504.

The two new CallerHandlerTests guard the pipelined and the late request on a closing connection.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -77,6 +77,10 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
+		if (this.closing) {
+			// The caller was told that the connection ends with the previous response.
+			return;
+		}
 		this.timeouts.requestReceived();
 		if (this.current == null && this.pipelined.isEmpty()) {
 			begin(message);
@@ -141,6 +145,23 @@
 		}
 	}
 
+	/**
+	 * Ends the request in flight, if there is one, since the process ends.
+	 */
+	void endInFlight() {
+		if (this.current != null) {
+			this.current.gatewayEnds();
+		}
+	}
+
+	/**
+	 * Returns the time at which the first byte of the last request was read.
+	 * @return the time in nanoseconds
+	 */
+	long requestBegunAt() {
+		return this.timeouts.requestBegunAt();
+	}
+
 	private void begin(Object message) {
 		if (message instanceof FullHttpRequest request) {
 			begin(request);
@@ -180,7 +201,7 @@
 	private void finish(FullHttpResponse response) {
 		this.current = null;
 		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.leaving.getAsBoolean();
+		boolean close = !this.keepAlive || this.leaving.getAsBoolean() && this.pipelined.isEmpty();
 		if (!this.headRequest) {
 			HttpUtil.setContentLength(response, response.content().readableBytes());
 		}
@@ -234,6 +255,11 @@
 		 */
 		void callerDisconnected();
 
+		/**
+		 * Ends the processing with a response, since the process ends.
+		 */
+		void gatewayEnds();
+
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.masticlane.admission.AdmissionPolicy;
@@ -60,7 +61,7 @@
 
 	private TrafficPlan plan = TrafficPlan.empty();
 
-	private boolean leaving;
+	private Optional<StopSchedule> stop = Optional.empty();
 
 	private int inFlight;
 
@@ -89,8 +90,8 @@
 		this.metrics.planChanged(updated.version());
 	}
 
-	void leave() {
-		this.leaving = true;
+	void leave(StopSchedule schedule) {
+		this.stop = Optional.of(schedule);
 	}
 
 	RetryAllowance retryAllowance(String service) {
@@ -174,7 +175,15 @@
 	}
 
 	boolean isLeaving() {
-		return this.leaving;
+		return this.stop.isPresent();
+	}
+
+	/**
+	 * Returns the schedule of the planned stop.
+	 * @return the schedule, or empty if the gateway is not leaving
+	 */
+	Optional<StopSchedule> stop() {
+		return this.stop;
 	}
 
 	int inFlight() {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -104,8 +104,6 @@
 
 	private final List<Channel> listeners = new ArrayList<>();
 
-	private long leavingSince;
-
 	/**
 	 * Creates a daemon.
 	 * @param settings the settings
@@ -272,32 +270,35 @@
 		if (this.gateway.isLeaving()) {
 			return;
 		}
-		this.leavingSince = System.nanoTime();
+		StopSchedule schedule = StopSchedule.of(System.nanoTime(), this.currentSettings.graceSeconds());
 		this.events.record(Event.GATEWAY_STOPPING, this.settings.host(), this.gateway.inFlight());
-		this.gateway.leave();
-		this.fleet.memberUpdated(self(), this.leavingSince);
+		this.gateway.leave(schedule);
+		this.fleet.memberUpdated(self(), schedule.startedAt());
 		this.registration.rewrite();
 		this.peers.report(false);
-		this.loop.schedule(this::stopWhenDrained, GatewayTimes.LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.schedule(() -> stopWhenDrained(schedule), schedule.lingerMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
 	 * Stops the daemon without losing requests: first the listeners are closed, then idle
 	 * connections, and each connection with a request in flight after its response.
+	 * @param schedule the schedule of the stop
 	 */
-	private void stopWhenDrained() {
+	private void stopWhenDrained(StopSchedule schedule) {
 		this.listeners.forEach(Channel::close);
 		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
-		long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.leavingSince);
-		double latestMillis = this.currentSettings.graceSeconds() * TimeUnit.SECONDS.toMillis(1)
-				- GatewayTimes.KILL_MARGIN_MILLIS;
-		if (!this.callers.isEmpty() && elapsedMillis < latestMillis) {
-			this.loop.schedule(this::stopWhenDrained, GatewayTimes.TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		long now = System.nanoTime();
+		long remainingMillis = schedule.remainingMillis(now);
+		if (!this.callers.isEmpty() && remainingMillis > 0) {
+			this.loop.schedule(() -> stopWhenDrained(schedule),
+					Math.min(remainingMillis, GatewayTimes.TICK_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
 			return;
 		}
 		this.follower.stop();
 		this.registration.stop();
-		this.events.record(Event.GATEWAY_STOPPED, this.settings.host(), this.gateway.inFlight(), elapsedMillis);
+		this.events.record(Event.GATEWAY_STOPPED, this.settings.host(), this.gateway.inFlight(),
+				schedule.elapsedMillis(now));
+		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).endInFlight());
 		this.loop.schedule(this.terminated::countDown, GatewayTimes.FINAL_WRITES_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -96,19 +96,7 @@
 	static final double LOOK_UP_TTL_SECONDS = 2;
 
 	/**
-	 * How long before SIGKILL a leaving gateway stops.
-	 */
-	static final long KILL_MARGIN_MILLIS = 600;
-
-	/**
-	 * How long a leaving gateway still accepts requests of callers that have not repeated
-	 * their look-up; three times the time to live of a look-up fits into the grace
-	 * period.
-	 */
-	static final long LINGER_MILLIS = 3_800;
-
-	/**
-	 * How long a stopping process waits for its last calls to the store.
+	 * How long a stopping process waits for its last responses and calls to the store.
 	 */
 	static final long FINAL_WRITES_MILLIS = 120;
 
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -30,6 +30,8 @@
 
 	private static final String NONE = "-";
 
+	private static final String STOPPING = "stopping";
+
 	private static final int SERVER_ERROR_STATUS = 500;
 
 	/**
@@ -82,6 +84,12 @@
 	 */
 	private static final double DEFAULT_RETRY_AFTER_MILLIS = 300;
 
+	/**
+	 * The delay before a retry at another gateway after a refusal by a leaving one, in
+	 * milliseconds: the time to connect to it.
+	 */
+	private static final double OTHER_GATEWAY_RETRY_AFTER_MILLIS = 50;
+
 	private final GatewayContext gateway;
 
 	private final CallerHandler caller;
@@ -90,6 +98,8 @@
 
 	private final long arrivedAt = System.nanoTime();
 
+	private final long begunAt;
+
 	private final Set<String> triedServers = new HashSet<>();
 
 	private final Set<String> sentToServers = new HashSet<>();
@@ -132,6 +142,7 @@
 		this.gateway = gateway;
 		this.caller = caller;
 		this.request = request.retain();
+		this.begunAt = caller.requestBegunAt();
 	}
 
 	@Override
@@ -214,6 +225,24 @@
 		}
 	}
 
+	@Override
+	public void gatewayEnds() {
+		if (this.finished) {
+			return;
+		}
+		boolean written = isWritten();
+		if (this.attemptOpen) {
+			endAttempt();
+			this.call.cancel();
+		}
+		if (written) {
+			fail(STOPPING, HttpResponseStatus.GATEWAY_TIMEOUT);
+		}
+		else {
+			refuse(STOPPING, HttpResponseStatus.SERVICE_UNAVAILABLE, 0, 0, OTHER_GATEWAY_RETRY_AFTER_MILLIS);
+		}
+	}
+
 	private void admit() {
 		if (this.organisation.isPresent()) {
 			long waitMillis = this.gateway.shares().acquire(this.organisation.get().name());
@@ -244,6 +273,10 @@
 			return;
 		}
 		long now = System.nanoTime();
+		if (!admitsWhileStopping(now)) {
+			abort(STOPPING, ownRemainingMillis(), remainingMillis(), OTHER_GATEWAY_RETRY_AFTER_MILLIS);
+			return;
+		}
 		Optional<Placement.Choice> found = this.gateway.placement()
 			.choose(this.placementRequest.withExcluded(this.triedServers), now);
 		if (found.isEmpty()) {
@@ -266,6 +299,13 @@
 		send(chosen, now);
 	}
 
+	private boolean admitsWhileStopping(long now) {
+		Optional<StopSchedule> stop = this.gateway.stop();
+		return stop.isEmpty() || stop.get()
+			.admits(this.begunAt, now, ownRemainingMillis(),
+					this.gateway.placement().serviceTimes(this.route).expectedMillis(false));
+	}
+
 	private void send(Placement.Choice chosen, long now) {
 		this.choice = chosen;
 		ServerState server = chosen.server();
@@ -419,7 +459,7 @@
 		if (this.finished) {
 			return;
 		}
-		boolean written = this.mayHaveRun || this.attemptOpen && this.call.isWritten();
+		boolean written = isWritten();
 		if (this.attemptOpen) {
 			ServerState unresponsive = this.choice.server();
 			this.choice.recordTimeout(this.sentAt, System.nanoTime());
@@ -441,6 +481,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether any part of the request may have reached a server.
+	 * @return whether the request may have run
+	 */
+	private boolean isWritten() {
+		return this.mayHaveRun || this.attemptOpen && this.call.isWritten();
+	}
+
 	/**
 	 * Closes the connection of an abandoned request that is not idempotent; its server
 	 * may have dropped the connection without closing it.
@@ -499,7 +547,18 @@
 		}
 	}
 
+	/**
+	 * Returns the time until the caller and the route expect the response, or until a
+	 * leaving gateway ends.
+	 * @return the time in milliseconds
+	 */
 	private long remainingMillis() {
+		Optional<StopSchedule> stop = this.gateway.stop();
+		return stop.isEmpty() ? ownRemainingMillis()
+				: Math.min(ownRemainingMillis(), stop.get().remainingMillis(System.nanoTime()));
+	}
+
+	private long ownRemainingMillis() {
 		long callerMillis = this.callerRequest.timeoutMillis() - RETURN_LATENCY_MILLIS;
 		long routeMillis = (this.route.timeoutMillis() > 0) ? this.route.timeoutMillis() : Long.MAX_VALUE;
 		return Math.min(callerMillis, routeMillis) - ageMillis();
--- a/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
@@ -19,6 +19,8 @@
 
 	private long stateSince;
 
+	private long requestBegunAt;
+
 	private State state = State.IDLE;
 
 	@Override
@@ -43,6 +45,7 @@
 	}
 
 	void requestReceived() {
+		this.requestBegunAt = isReading() ? this.stateSince : System.nanoTime();
 		this.state = State.BUSY;
 	}
 
@@ -51,6 +54,14 @@
 		this.stateSince = System.nanoTime();
 	}
 
+	/**
+	 * Returns the time at which the first byte of the last request was read.
+	 * @return the time in nanoseconds
+	 */
+	long requestBegunAt() {
+		return this.requestBegunAt;
+	}
+
 	/**
 	 * Returns whether a part of a request was read.
 	 * @return whether the rest of a request is awaited
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -8,6 +8,9 @@
 import java.util.OptionalDouble;
 
 import io.masticlane.caller.BodyAggregator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -21,6 +24,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class CallerHandlerTests {
@@ -35,12 +39,15 @@
 
 	private EmbeddedChannel channel;
 
+	private boolean leaving;
+
 	@BeforeMethod
 	public void start() {
 		this.started = new ArrayList<>();
 		this.waiting = new HashMap<>();
 		ReadTimeoutTracker timeouts = new ReadTimeoutTracker();
-		this.handler = new CallerHandler(this::process, () -> false, timeouts);
+		this.leaving = false;
+		this.handler = new CallerHandler(this::process, () -> this.leaving, timeouts);
 		this.channel = new EmbeddedChannel(timeouts, new BodyAggregator(MAXIMUM_BODY_BYTES), this.handler);
 	}
 
@@ -80,6 +87,43 @@
 		assertEquals(responses(), List.of("/a", "the body is too large"));
 	}
 
+	/**
+	 * Guards against a planned stop that drops requests which were read completely.
+	 */
+	@Test
+	public void pipelinedRequestsAreAnsweredBeforeALeavingGatewayClosesTheConnection() {
+		this.channel.writeInbound(request("/a"));
+		this.channel.writeInbound(request("/b"));
+		this.leaving = true;
+		respond("/a");
+		this.channel.runPendingTasks();
+		respond("/b");
+		assertEquals(responses(), List.of("/a", "/b"));
+		assertFalse(this.channel.isOpen());
+	}
+
+	/**
+	 * Guards against a request that is sent to a server although its connection is about
+	 * to be closed.
+	 */
+	@Test
+	public void aRequestThatFollowsTheLastResponseIsNotStarted() {
+		List<ChannelPromise> writes = new ArrayList<>();
+		this.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+			@Override
+			public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+				writes.add(promise);
+			}
+		});
+		this.channel.writeInbound(request("/a"));
+		this.leaving = true;
+		respond("/a");
+		this.channel.writeInbound(request("/b"));
+		assertEquals(this.started, List.of("/a"));
+		writes.get(0).setSuccess();
+		assertFalse(this.channel.isOpen());
+	}
+
 	private CallerHandler.Processing process(CallerHandler caller, FullHttpRequest request) {
 		String uri = request.uri();
 		return new CallerHandler.Processing() {
@@ -95,6 +139,11 @@
 				CallerHandlerTests.this.waiting.remove(uri);
 			}
 
+			@Override
+			public void gatewayEnds() {
+				respond(uri);
+			}
+
 		};
 	}
 
