Reserve the share of a gateway whose entry lapsed

A lapsed entry was taken for the end of the gateway, and nothing tied the gateway's part to its lease.

GatewayFleet keeps the share of a gateway that did not announce its end reserved for ten minutes, and a gateway without a renewal for that long stops using it unless it hears most of the others. The two spans are counted from the renewal and from the later lapse, so they do not overlap. The slack for retries and the bound of cold servers were divided by the same counts and follow. Gateways that hear each other count whatever the store says.

--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.masticlane.message.Message;
 
@@ -28,12 +29,20 @@
 	 */
 	private static final long FIRST_REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+	/**
+	 * How long the share of a gateway whose entry lapsed in the store is reserved for it,
+	 * in nanoseconds. It may be cut off from the store and still serve its callers.
+	 */
+	public static final long RESERVATION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
 	private static final double PER_MILLE = 1_000;
 
 	private final String self;
 
 	private final Map<String, Gateway> members = new HashMap<>();
 
+	private final Map<String, LapsedMember> lapsed = new HashMap<>();
+
 	private final Map<String, Long> discoveredAt = new HashMap<>();
 
 	private final Map<String, Report> reports = new HashMap<>();
@@ -52,6 +61,7 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void memberUpdated(Gateway gateway, long now) {
+		this.lapsed.remove(gateway.host());
 		Gateway previous = this.members.put(gateway.host(), gateway);
 		if (previous == null || !previous.incarnation().equals(gateway.incarnation())) {
 			this.discoveredAt.put(gateway.host(), now);
@@ -59,12 +69,46 @@
 	}
 
 	/**
-	 * Records that the description of a gateway was removed from the store.
+	 * Records that the description of a gateway was removed from the store. The share of
+	 * a gateway that did not announce its end stays reserved, since a gateway that is cut
+	 * off cannot be told from a dead one.
 	 * @param host the name of its entry host
+	 * @param now the current time in nanoseconds
+	 * @return whether the share stays reserved
 	 */
-	public void memberRemoved(String host) {
-		this.members.remove(host);
+	public boolean memberRemoved(String host, long now) {
+		Gateway removed = this.members.remove(host);
 		this.discoveredAt.remove(host);
+		Report report = this.reports.get(host);
+		if (removed == null || removed.leaving() || report != null && report.report().leaving()) {
+			return false;
+		}
+		this.lapsed.put(host, new LapsedMember(removed, now));
+		return true;
+	}
+
+	/**
+	 * Ends the reservations that are too old. They are kept if they are for half of the
+	 * gateways or more: this gateway may then be on the smaller side of a partition, and
+	 * the larger side keeps its share.
+	 * @param now the current time in nanoseconds
+	 */
+	public void expire(long now) {
+		if (2 * this.lapsed.size() < size()) {
+			this.lapsed.values().removeIf((member) -> now - member.lapsedAt() > RESERVATION_NANOS);
+		}
+	}
+
+	/**
+	 * Returns whether the other gateways still reserve the share of this one. They
+	 * release it after a while without a renewal in the store, unless this gateway
+	 * belongs to the larger side of a partition.
+	 * @param nanosSinceRenewal the time since this gateway renewed its entry in the store
+	 * @param now the current time in nanoseconds
+	 * @return whether this gateway may use its share
+	 */
+	public boolean retainsShare(long nanosSinceRenewal, long now) {
+		return nanosSinceRenewal < RESERVATION_NANOS || 2 * (freshReportCount(now) + 1) > size();
 	}
 
 	/**
@@ -115,21 +159,24 @@
 	}
 
 	/**
-	 * Returns the number of gateways that share a rate limit, including this one.
-	 * @return the number of members
+	 * Returns the number of gateways that share the limits, including this one and those
+	 * with a reservation.
+	 * @return the number of gateways
 	 */
 	public int size() {
-		return this.members.size() + (this.members.containsKey(this.self) ? 0 : 1);
+		return this.members.size() + this.lapsed.size() + (this.members.containsKey(this.self) ? 0 : 1);
 	}
 
 	/**
-	 * Returns the number of member gateways in a region, including this one.
+	 * Returns the number of gateways in a region that share the limits, including this
+	 * one and those with a reservation.
 	 * @param region the region
 	 * @return the number, at least one
 	 */
 	public int regionSize(String region) {
-		return Math.max(1,
-				(int) this.members.values().stream().filter((gateway) -> gateway.region().equals(region)).count());
+		Stream<Gateway> sharing = Stream.concat(this.members.values().stream(),
+				this.lapsed.values().stream().map(LapsedMember::gateway));
+		return Math.max(1, (int) sharing.filter((gateway) -> gateway.region().equals(region)).count());
 	}
 
 	/**
@@ -192,6 +239,9 @@
 		return !gateway.leaving() && discovered != null && now - discovered < FIRST_REPORT_TIMEOUT_NANOS;
 	}
 
+	private record LapsedMember(Gateway gateway, long lapsedAt) {
+	}
+
 	private record Report(Message.GatewayReport report, long receivedAt) {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -125,7 +125,7 @@
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
 				(lease, reason) -> events.record(Event.REGISTRATION_LOST, settings.host(), lease, reason));
 		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower,
-				new Peer(settings.host(), this.incarnation));
+				this.registration::nanosSinceRenewal, new Peer(settings.host(), this.incarnation));
 	}
 
 	/**
@@ -229,6 +229,7 @@
 	private void tick() {
 		long now = System.nanoTime();
 		this.view.expire(now);
+		this.fleet.expire(now);
 		this.gateway.placement().update(this.fleet.localFractions(this.settings.region(), now), now);
 		this.gateway.regionFlow()
 			.closeWindow(now)
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -319,8 +319,9 @@
 
 	private void removeMember(String host) {
 		this.fleet.member(host).ifPresent((member) -> {
-			this.fleet.memberRemoved(host);
-			this.events.record(Event.MEMBER_CHANGED, host, "gone", member.incarnation(), this.fleet.size());
+			boolean lapsed = this.fleet.memberRemoved(host, System.nanoTime());
+			this.events.record(Event.MEMBER_CHANGED, host, lapsed ? "lapsed" : "gone", member.incarnation(),
+					this.fleet.size());
 			this.membersChanged.accept(this.fleet.others());
 		});
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
@@ -36,6 +37,8 @@
 
 	private final StoreFollower store;
 
+	private final LongSupplier nanosSinceRenewal;
+
 	private final Peer self;
 
 	private final PeerNetwork network;
@@ -49,11 +52,12 @@
 	private int reportsSent;
 
 	PeerReports(EventLoopGroup loops, GatewayContext gateway, GatewayFleet fleet, GatewayView view, StoreFollower store,
-			Peer self) {
+			LongSupplier nanosSinceRenewal, Peer self) {
 		this.gateway = gateway;
 		this.fleet = fleet;
 		this.view = view;
 		this.store = store;
+		this.nanosSinceRenewal = nanosSinceRenewal;
 		this.self = self;
 		this.network = new PeerNetwork(loops, self, GatewayTimes.PEER_IDLE_TIMEOUT_MILLIS, this, gateway.events());
 	}
@@ -81,7 +85,12 @@
 	 */
 	void report(boolean ready) {
 		long now = System.nanoTime();
-		this.gateway.shares().divide(this.fleet.size(), this.fleet.freshReportCount(now) + 1, now);
+		if (this.fleet.retainsShare(this.nanosSinceRenewal.getAsLong(), now)) {
+			this.gateway.shares().divide(this.fleet.size(), this.fleet.freshReportCount(now) + 1, now);
+		}
+		else {
+			this.gateway.shares().suspend(now);
+		}
 		boolean full = this.reportsSent++ % FULL_REPORT_INTERVAL == 0;
 		Message.GatewayReport report = new Message.GatewayReport(this.gateway.plan().version(), this.store.position(),
 				String.join(",", this.view.evacuatedDataCentres()), this.gateway.isLeaving(), ready,
--- a/masticlane/src/main/java/io/masticlane/gateway/Registration.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Registration.java
@@ -29,6 +29,8 @@
 
 	private long lease = NO_LEASE;
 
+	private long renewedAt = System.nanoTime();
+
 	private boolean stopped;
 
 	Registration(EventLoop loop, SharedState store, Supplier<Gateway> self, double minimumLeaseSeconds,
@@ -44,11 +46,13 @@
 		if (this.stopped) {
 			return;
 		}
+		long askedAt = System.nanoTime();
 		this.store.grantLease(this.leaseSeconds).whenComplete((granted, failure) -> {
 			if (failure != null) {
 				retry(this::start, "no lease was granted", failure);
 				return;
 			}
+			this.renewedAt = askedAt;
 			this.lease = granted;
 			write();
 		});
@@ -67,6 +71,15 @@
 		}
 	}
 
+	/**
+	 * Returns the time since this gateway asked for the last lease or renewal that it was
+	 * granted. The store counts the lease from a later moment.
+	 * @return the time in nanoseconds
+	 */
+	long nanosSinceRenewal() {
+		return System.nanoTime() - this.renewedAt;
+	}
+
 	void stop() {
 		this.stopped = true;
 		if (this.lease != NO_LEASE) {
@@ -92,11 +105,13 @@
 		if (this.stopped) {
 			return;
 		}
+		long askedAt = System.nanoTime();
 		this.store.renewLease(this.lease).whenComplete((alive, failure) -> {
 			if (failure != null) {
 				retry(this::renew, "the lease was not renewed", failure);
 			}
 			else if (alive) {
+				this.renewedAt = askedAt;
 				schedule(this::renew, GatewayTimes.RENEW_INTERVAL_MILLIS);
 			}
 			else {
--- a/masticlane/src/main/java/io/masticlane/quota/RateShares.java
+++ b/masticlane/src/main/java/io/masticlane/quota/RateShares.java
@@ -163,6 +163,15 @@
 		this.buckets.values().forEach((bucket) -> bucket.divide(unreportedFraction, this.members, this.random, now));
 	}
 
+	/**
+	 * Refuses the requests of all organisations with a rate until the next division,
+	 * since the other gateways may use the share of this one.
+	 * @param now the current time in nanoseconds
+	 */
+	public void suspend(long now) {
+		this.buckets.values().forEach((bucket) -> bucket.suspend(now));
+	}
+
 	/**
 	 * Returns the number of requests that this gateway admitted since its start.
 	 * @param all whether to include organisations without a change since the last call
@@ -275,6 +284,11 @@
 			}
 		}
 
+		private void suspend(long now) {
+			this.grant = 0;
+			this.dividedAt = now;
+		}
+
 		private void divide(double unreportedFraction, int members, DoubleSupplier random, long now) {
 			if (!this.divided) {
 				this.divided = true;
--- a/masticlane/src/test/java/io/masticlane/fleet/GatewayFleetTests.java
+++ b/masticlane/src/test/java/io/masticlane/fleet/GatewayFleetTests.java
@@ -1,6 +1,7 @@
 package io.masticlane.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +11,9 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 public class GatewayFleetTests {
 
@@ -58,6 +61,55 @@
 		assertEquals(hosts("west", 4 * SECOND_NANOS), List.of("self"));
 	}
 
+	/**
+	 * Guards against limits that two sides of a partition use at once.
+	 */
+	@Test
+	public void theShareOfAGatewayWhoseEntryLapsedStaysReserved() {
+		describeAll("self", "a", "b");
+		this.fleet.memberRemoved("a", SECOND_NANOS);
+		this.fleet.expire(GatewayFleet.RESERVATION_NANOS);
+		assertEquals(this.fleet.size(), 3);
+		assertEquals(this.fleet.regionSize("west"), 3);
+		assertEquals(hosts("west", 3 * SECOND_NANOS), List.of("self"));
+		describe("a", "west");
+		assertEquals(this.fleet.size(), 3);
+	}
+
+	@Test
+	public void aReservationEndsAfterAWhileUnlessItIsForHalfOfTheGateways() {
+		describeAll("self", "a", "b");
+		this.fleet.memberRemoved("a", SECOND_NANOS);
+		this.fleet.expire(2 * SECOND_NANOS + GatewayFleet.RESERVATION_NANOS);
+		assertEquals(this.fleet.size(), 2);
+		this.fleet.memberRemoved("b", SECOND_NANOS);
+		this.fleet.expire(2 * SECOND_NANOS + GatewayFleet.RESERVATION_NANOS);
+		assertEquals(this.fleet.size(), 2);
+	}
+
+	@Test
+	public void aGatewayThatAnnouncedItsEndHasNoReservation() {
+		describeAll("self", "a", "b");
+		report("a", false, true, SECOND_NANOS);
+		this.fleet.memberRemoved("a", SECOND_NANOS);
+		this.fleet.memberUpdated(new Gateway("b", "1", "west-1", "west", new InetSocketAddress("127.0.0.1", 1),
+				new InetSocketAddress("127.0.0.1", 2), true), SECOND_NANOS);
+		this.fleet.memberRemoved("b", SECOND_NANOS);
+		assertEquals(this.fleet.size(), 1);
+	}
+
+	@Test
+	public void aGatewayThatIsCutOffLosesItsShareBeforeTheOthersReleaseItUnlessItHearsMostGateways() {
+		describeAll("self", "a", "b", "c");
+		long before = GatewayFleet.RESERVATION_NANOS - SECOND_NANOS;
+		assertTrue(this.fleet.retainsShare(before, SECOND_NANOS));
+		assertFalse(this.fleet.retainsShare(GatewayFleet.RESERVATION_NANOS, SECOND_NANOS));
+		report("a", true, false, SECOND_NANOS);
+		assertFalse(this.fleet.retainsShare(GatewayFleet.RESERVATION_NANOS, SECOND_NANOS));
+		report("b", true, false, SECOND_NANOS);
+		assertTrue(this.fleet.retainsShare(GatewayFleet.RESERVATION_NANOS, SECOND_NANOS));
+	}
+
 	@Test
 	public void anEncodedEntryIsDecodedUnchanged() {
 		Gateway gateway = gateway("a", "west");
@@ -75,6 +127,10 @@
 		return this.fleet.availableGateways(region, now).stream().map(Gateway::host).toList();
 	}
 
+	private void describeAll(String... hosts) {
+		Arrays.stream(hosts).forEach((host) -> describe(host, "west"));
+	}
+
 	private void describe(String host, String region) {
 		this.fleet.memberUpdated(gateway(host, region), 0);
 	}
