Bound the memory of all message bodies of a gateway together

Callers saw: while a server sent answers without end, or many callers sent large bodies, other requests at the same gateway took up to 11.5 s, timed out or were answered 504 (reported by operators of similar systems).

Cause: each answer could grow to 64 MB in a heap of 96 MB, callers' bodies to the configured limit, and nothing bounded them together. Small chunks kept the read buffers that they came in, and up to 1 MB of them, or of interim answers, was decoded before the event loop turned to another connection.

MessageMemory bounds the bodies of both directions at half of the heap until they are written. When it is exhausted the largest body that is still being read is discarded, so that endless messages do not displace sound ones. Interim answers, tiny pieces and the bytes read at a time are bounded.

A limit for bodies is now taken at each request and not once a connection, since the aggregator is new.

--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -3,8 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.StreamSupport;
 
 import io.masticlane.backend.BackendConnections;
+import io.masticlane.memory.MessageMemory;
 import io.masticlane.route.RoutingTable;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -43,6 +45,10 @@
 
 	private final Map<EventLoop, BackendConnections> connectionPools = new ConcurrentHashMap<>();
 
+	private final Map<EventLoop, MessageMemory> memories = new ConcurrentHashMap<>();
+
+	private final int loopCount;
+
 	/**
 	 * Creates a new server.
 	 * @param loops the event loops of the caller side
@@ -51,6 +57,7 @@
 	 */
 	public CallerServer(EventLoopGroup loops, EntryServices services, int maximumBodyBytes) {
 		this.loops = loops;
+		this.loopCount = (int) StreamSupport.stream(loops.spliterator(), false).count();
 		this.services = services;
 		this.maximumBodyBytes = maximumBodyBytes;
 	}
@@ -101,10 +108,12 @@
 	private void initialize(SocketChannel channel) {
 		this.callerChannels.add(channel);
 		BackendConnections pool = this.connectionPools.computeIfAbsent(channel.eventLoop(), BackendConnections::new);
+		MessageMemory memory = this.memories.computeIfAbsent(channel.eventLoop(),
+				(loop) -> MessageMemory.ofHeap(this.loopCount));
 		HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
 			.setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
 		channel.pipeline()
-			.addLast(new CallerCodec(decoder), new BodyAggregator(this.maximumBodyBytes),
+			.addLast(new CallerCodec(decoder), new BodyAggregator(() -> this.maximumBodyBytes, memory),
 					new RequestHandler(this.services, pool));
 	}
 
--- a/masticlane/src/main/java/io/masticlane/caller/RefusedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RefusedRequest.java
@@ -16,9 +16,29 @@
  */
 public record RefusedRequest(Refusal refusal) {
 
+	/**
+	 * The delay before a retry of a request whose body found no memory, in milliseconds:
+	 * about the time in which the bodies of other requests are forwarded.
+	 */
+	private static final long SATURATED_RETRY_AFTER_MILLIS = 500;
+
 	static RefusedRequest tooLarge(HttpHeaders headers) {
+		return of(ErrorKind.TOO_LARGE, headers);
+	}
+
+	/**
+	 * Creates the refusal of a request for whose body there is no memory at present.
+	 * @param headers the headers of the request
+	 * @return the refused request
+	 */
+	static RefusedRequest saturated(HttpHeaders headers) {
+		RefusedRequest refused = of(ErrorKind.SATURATED, headers);
+		return new RefusedRequest(refused.refusal().withRetryAfterMillis(SATURATED_RETRY_AFTER_MILLIS));
+	}
+
+	private static RefusedRequest of(ErrorKind kind, HttpHeaders headers) {
 		Outcome outcome = headers.contains(Headers.IDEMPOTENCY_KEY) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-		return new RefusedRequest(Refusal.of(ErrorKind.TOO_LARGE).withOutcome(outcome));
+		return new RefusedRequest(Refusal.of(kind).withOutcome(outcome));
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -9,7 +9,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
 /**
@@ -132,18 +131,18 @@
 			return this.context.channel().isActive() && now - this.idleSince < this.idleTimeoutNanos;
 		}
 
+		boolean isAwaitingResponse() {
+			return this.call != null && !this.call.ended;
+		}
+
 		void close() {
 			this.context.close();
 		}
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext read, FullHttpResponse response) {
-			if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-					&& response.decoderResult().isSuccess()) {
-				return;
-			}
 			ClientCall activeCall = this.call;
-			if (activeCall == null || activeCall.ended) {
+			if (!isAwaitingResponse()) {
 				read.close();
 				return;
 			}
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -7,17 +7,19 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.masticlane.memory.MessageMemory;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 
 /**
  * The pool of connections from one event loop to other processes. A connection is used
@@ -25,20 +27,34 @@
  */
 public final class ConnectionPool {
 
-	private static final int MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
-
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
 	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
 	private static final int MAXIMUM_CHUNK_BYTES = 16 * 1024;
 
+	private static final int MINIMUM_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2 * 1024;
+
+	private static final int MAXIMUM_READ_BYTES = 16 * 1024;
+
+	/**
+	 * Limits the bytes that the event loop reads from one connection before it turns to
+	 * the others. Many small parts of a message take far longer than their bytes.
+	 */
+	private static final RecvByteBufAllocator READ_LIMITS = new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES,
+			INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+		.maxMessagesPerRead(2);
+
 	private final EventLoop loop;
 
 	private final int connectTimeoutMillis;
 
 	private final long idleNanos;
 
+	private final MessageMemory memory;
+
 	private final Map<InetSocketAddress, Deque<ClientCall.Handler>> idle = new HashMap<>();
 
 	/**
@@ -46,11 +62,13 @@
 	 * @param loop the event loop, on which calls are made and completed
 	 * @param connectTimeoutMillis the timeout for connecting, in milliseconds
 	 * @param idleMillis the maximum idle time of a connection, in milliseconds
+	 * @param memory the memory for the bodies of responses
 	 */
-	public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long idleMillis) {
+	public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long idleMillis, MessageMemory memory) {
 		this.loop = loop;
 		this.connectTimeoutMillis = connectTimeoutMillis;
 		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(idleMillis);
+		this.memory = memory;
 	}
 
 	/**
@@ -74,13 +92,15 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMillis)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, READ_LIMITS)
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
+					ClientCall.Handler handler = new ClientCall.Handler((released) -> release(address, released));
 					channel.pipeline()
 						.addLast(new HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
-								new HttpObjectAggregator(MAXIMUM_RESPONSE_BYTES),
-								new ClientCall.Handler((handler) -> release(address, handler)));
+								new ResponseAggregator(ConnectionPool.this.memory, handler::isAwaitingResponse),
+								handler);
 				}
 			})
 			.connect(address);
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -5,10 +5,12 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import io.masticlane.caller.Headers;
 import io.masticlane.caller.RefusedRequest;
+import io.masticlane.failure.ErrorKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -166,10 +168,16 @@
 		if (message instanceof FullHttpRequest request) {
 			begin(request);
 		}
-		else if (message instanceof RefusedRequest) {
+		else if (message instanceof RefusedRequest refused) {
 			this.headRequest = false;
 			this.keepAlive = false;
-			sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
+			if (refused.refusal().kind() == ErrorKind.TOO_LARGE) {
+				sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
+			}
+			else {
+				sendError(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: no memory for the body", OptionalDouble
+					.of(refused.refusal().retryAfterMillis() / (double) TimeUnit.SECONDS.toMillis(1)));
+			}
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -10,6 +10,7 @@
 import io.masticlane.client.ConnectionPool;
 import io.masticlane.event.EventLog;
 import io.masticlane.fleet.GatewayFleet;
+import io.masticlane.memory.MessageMemory;
 import io.masticlane.placement.Placement;
 import io.masticlane.placement.RegionFlow;
 import io.masticlane.plan.TrafficPlan;
@@ -55,6 +56,8 @@
 
 	private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
 
+	private final MessageMemory memory = MessageMemory.ofHeap(1);
+
 	private final ConnectionPool servers;
 
 	private final StartupQueue startupQueue = new StartupQueue(MAXIMUM_STARTUP_REQUESTS);
@@ -75,7 +78,8 @@
 		this.events = events;
 		this.fleet = fleet;
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
-		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS);
+		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
+				this.memory);
 	}
 
 	void settings(GatewaySettings updated) {
@@ -166,6 +170,10 @@
 		return this.servers;
 	}
 
+	MessageMemory memory() {
+		return this.memory;
+	}
+
 	StartupQueue startupQueue() {
 		return this.startupQueue;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -261,6 +261,7 @@
 			this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
 		}
 		this.gateway.connections().closeExpired();
+		this.gateway.metrics().messageMemory(this.gateway.memory().usedBytes(), this.gateway.memory().limitBytes());
 		this.gateway.metrics().localFractions(this.gateway.placement().localFractions());
 		this.gateway.metrics()
 			.known(this.gateway.placement().servers().size(), this.fleet.size(), this.view.rejectedDocuments(),
@@ -318,7 +319,9 @@
 					.addLast(timeouts,
 							new CallerCodec(new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 								.setMaxHeaderSize(limits.maximumHeadBytes())),
-							new HeadListener(timeouts), new BodyAggregator(limits.maximumBodyBytes()),
+							new HeadListener(timeouts),
+							new BodyAggregator(() -> GatewayDaemon.this.gateway.plan().limits().maximumBodyBytes(),
+									GatewayDaemon.this.gateway.memory()),
 							new CallerHandler((caller, request) -> new ProxiedRequest(GatewayDaemon.this.gateway,
 									caller, request), GatewayDaemon.this.gateway::isLeaving, timeouts));
 				GatewayDaemon.this.callers.add(channel);
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -60,6 +60,12 @@
 		.help("The version of the traffic plan in force.")
 		.register(this.registry);
 
+	private final Gauge messageBytes = Gauge.builder()
+		.name("masticlane_gateway_message_bytes")
+		.help("Memory of the bodies that are being read or wait to be written, and its limit.")
+		.labelNames("what")
+		.register(this.registry);
+
 	private final Gauge known = Gauge.builder()
 		.name("masticlane_gateway_known")
 		.help("Backend servers, entry hosts, rejected documents and age of the store's last answer in seconds.")
@@ -91,6 +97,11 @@
 		this.planVersion.set(version);
 	}
 
+	void messageMemory(long usedBytes, long limitBytes) {
+		this.messageBytes.labelValues("used").set(usedBytes);
+		this.messageBytes.labelValues("limit").set(limitBytes);
+	}
+
 	void known(int servers, int members, int rejectedDocuments, double storeAgeSeconds, long droppedLines) {
 		this.known.labelValues("servers").set(servers);
 		this.known.labelValues("entry_hosts").set(members);
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 
 import io.masticlane.caller.BodyAggregator;
+import io.masticlane.memory.MessageMemory;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -31,6 +32,8 @@
 
 	private static final int MAXIMUM_BODY_BYTES = 16;
 
+	private static final int MEMORY_BYTES = 12;
+
 	private List<String> started;
 
 	private Map<String, CallerHandler> waiting;
@@ -48,7 +51,8 @@
 		ReadTimeoutTracker timeouts = new ReadTimeoutTracker();
 		this.leaving = false;
 		this.handler = new CallerHandler(this::process, () -> this.leaving, timeouts);
-		this.channel = new EmbeddedChannel(timeouts, new BodyAggregator(MAXIMUM_BODY_BYTES), this.handler);
+		this.channel = new EmbeddedChannel(timeouts,
+				new BodyAggregator(() -> MAXIMUM_BODY_BYTES, new MessageMemory(MEMORY_BYTES)), this.handler);
 	}
 
 	@Test
@@ -75,6 +79,18 @@
 		assertTrue(this.channel.isOpen());
 	}
 
+	@Test
+	public void aBodyWithoutMemoryIsRefusedAsNotRun() {
+		DefaultHttpRequest large = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/large");
+		large.headers().set(HttpHeaderNames.CONTENT_LENGTH, MEMORY_BYTES + 1);
+		this.channel.writeInbound(large);
+		FullHttpResponse response = (FullHttpResponse) this.channel.outboundMessages().peek();
+		assertEquals(response.status(), HttpResponseStatus.SERVICE_UNAVAILABLE);
+		assertEquals(response.headers().get(HttpHeaderNames.RETRY_AFTER), "0.500");
+		assertEquals(responses(), List.of("not run: no memory for the body"));
+		assertFalse(this.channel.isOpen());
+	}
+
 	@Test
 	public void theRefusalOfATooLargeBodyFollowsTheResponsesToEarlierRequests() {
 		this.channel.writeInbound(request("/a"));
