Give no length to a response that ends with its connection

Callers saw, by report of operators of similar systems: a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head and closed.

But a success without a length or chunks, which ends with its connection whether it is whole or not, got a Content-Length and a kept connection, so a body that had broken off was framed as whole.

It is now passed on without a length on a connection that is closed after it, so that callers know as much as the gateway.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -111,7 +111,8 @@
 	}
 
 	/**
-	 * Forwards the response of a backend server to the caller.
+	 * Forwards the response of a backend server to the caller. A response that ends with
+	 * its connection gets no length, since it may have broken off.
 	 * @param response the response, whose content this method retains
 	 */
 	void forwardResponse(FullHttpResponse response) {
@@ -120,6 +121,13 @@
 		copy.headers().set(response.headers());
 		Headers.removeHopByHop(copy.headers());
 		copy.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+		boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+		boolean withoutBody = this.headRequest || response.status().equals(HttpResponseStatus.NO_CONTENT)
+				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+		this.keepAlive &= framed || withoutBody;
+		if (framed || withoutBody) {
+			setContentLength(copy);
+		}
 		finish(copy);
 	}
 
@@ -135,6 +143,7 @@
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 		retryAfterSeconds.ifPresent((seconds) -> response.headers()
 			.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds)));
+		setContentLength(response);
 		finish(response);
 	}
 
@@ -210,9 +219,6 @@
 		this.current = null;
 		this.timeouts.responseSent();
 		boolean close = !this.keepAlive || this.leaving.getAsBoolean() && this.pipelined.isEmpty();
-		if (!this.headRequest) {
-			HttpUtil.setContentLength(response, response.content().readableBytes());
-		}
 		if (close) {
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
@@ -227,6 +233,12 @@
 		}
 	}
 
+	private void setContentLength(FullHttpResponse response) {
+		if (!this.headRequest) {
+			HttpUtil.setContentLength(response, response.content().readableBytes());
+		}
+	}
+
 	private void discardPipelined() {
 		this.pipelined.forEach(ReferenceCountUtil::release);
 		this.pipelined.clear();
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -0,0 +1,93 @@
+package io.masticlane.backend;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.masticlane.steering.AttemptResult;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class BackendHandlerTests {
+
+	@DataProvider
+	public Object[][] framings() {
+		return new Object[][] { { "Content-Length: 5\r\n" }, { "Content-Length: 0\r\n" },
+				{ "Transfer-Encoding: chunked\r\n" }, { "" } };
+	}
+
+	/**
+	 * Guards against a response whose head breaks off and which callers get as a complete
+	 * one. The head is broken off at each of its bytes, on a new and on a reused
+	 * connection.
+	 * @param framing the header that gives the length of the body
+	 */
+	@Test(dataProvider = "framings")
+	public void aResponseWhoseHeadBreaksOffIsReportedAsLost(String framing) {
+		String head = "HTTP/1.1 200 OK\r\nServer: s\r\n" + framing + "\r\n";
+		for (int length = 0; length < head.length(); length++) {
+			for (boolean reused : new boolean[] { false, true }) {
+				assertEquals(received(head.substring(0, length), reused), List.of("LOST"),
+						"after " + length + " bytes of the head");
+			}
+		}
+	}
+
+	private static List<String> received(String beginning, boolean reused) {
+		BackendHandler handler = new BackendHandler((channel) -> {
+		});
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), handler);
+		if (reused) {
+			exchange(channel, handler, new Recorder(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+		}
+		Recorder recorder = new Recorder();
+		exchange(channel, handler, recorder, beginning);
+		channel.close();
+		return recorder.events;
+	}
+
+	private static void exchange(EmbeddedChannel channel, BackendHandler handler, Recorder recorder, String response) {
+		handler.expectResponse(recorder);
+		channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/post/1"));
+		channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
+	}
+
+	private static final class Recorder implements ResponseReceiver {
+
+		private final List<String> events = new ArrayList<>();
+
+		@Override
+		public boolean connectionAcquired(Channel connection, boolean reused) {
+			return true;
+		}
+
+		@Override
+		public void headReceived(HttpResponse head) {
+			this.events.add("head");
+		}
+
+		@Override
+		public void contentReceived(HttpContent content) {
+			this.events.add("content");
+			content.release();
+		}
+
+		@Override
+		public void attemptFailed(AttemptResult result) {
+			this.events.add(result.name());
+		}
+
+	}
+
+}
