Reset the connections of attempts that are given up

Cause: attempts ended by an ordinary close, after which the kernel still delivers what has not been acknowledged. Requests that may run once were kept open for 5 s after their timeout.

A reset drops the bytes that have not arrived. A request that may run once is kept until its own time is over and 300 ms more, when its server has ended it by itself, whether it timed out or its caller left.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,11 +32,25 @@
 	}
 
 	/**
-	 * Cancels the call and closes its connection; the listener is not notified any more.
+	 * Cancels the call and resets its connection; the listener is not notified any more.
 	 */
 	public void cancel() {
 		this.ended = true;
-		ConnectionPool.closeQuietly(this.channel);
+		if (this.channel != null) {
+			reset(this.channel);
+		}
+	}
+
+	/**
+	 * Closes a connection and drops the bytes that the other end has not acknowledged.
+	 * After an ordinary close they would still be delivered, however much later.
+	 * @param channel the connection
+	 */
+	private static void reset(Channel channel) {
+		if (channel.isActive()) {
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		channel.close();
 	}
 
 	/**
@@ -159,7 +174,7 @@
 			this.call = null;
 			if (disposition == ResponseListener.Disposition.DOUBTFUL || this.unexpectedResponse || !this.requestWritten
 					|| !HttpUtil.isKeepAlive(response)) {
-				read.close();
+				reset(read.channel());
 				return;
 			}
 			updateIdleTimeout(response);
@@ -180,7 +195,7 @@
 		private void end(ResponseListener.Failure failure, String detail) {
 			ClientCall activeCall = this.call;
 			this.call = null;
-			this.context.close();
+			reset(this.context.channel());
 			if (activeCall != null) {
 				activeCall.fail(failure, detail);
 			}
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -10,7 +10,6 @@
 import io.masticlane.memory.MessageMemory;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -158,10 +157,4 @@
 		this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addFirst(handler);
 	}
 
-	static void closeQuietly(Channel channel) {
-		if (channel != null) {
-			channel.close();
-		}
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -67,10 +67,10 @@
 
 	/**
 	 * How long the gateway keeps the connection of a request that is not idempotent after
-	 * it stopped waiting for its response, so that the server can still complete it, in
-	 * milliseconds.
+	 * the request's time is over, in milliseconds. By then a server that received the
+	 * request has ended it by itself.
 	 */
-	private static final long ABANDONED_ATTEMPT_TIMEOUT_MILLIS = 5_000;
+	private static final long ABANDONED_ATTEMPT_MARGIN_MILLIS = 300;
 
 	/**
 	 * The divisor of the caller's timeout that a request may wait for the start of the
@@ -217,7 +217,8 @@
 		finish("abandoned");
 		if (!cancellable) {
 			this.gateway.loop()
-				.schedule(this::closeAbandonedAttempt, ABANDONED_ATTEMPT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+				.schedule(this::closeAbandonedAttempt, Math.max(0, remainingMillis()) + ABANDONED_ATTEMPT_MARGIN_MILLIS,
+						TimeUnit.MILLISECONDS);
 		}
 		if (cancellable && this.attemptOpen) {
 			endAttempt();
@@ -470,7 +471,7 @@
 			}
 			else {
 				this.gateway.loop()
-					.schedule(this::closeAbandonedAttempt, ABANDONED_ATTEMPT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+					.schedule(this::closeAbandonedAttempt, ABANDONED_ATTEMPT_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
 			}
 		}
 		if (written) {
@@ -490,8 +491,8 @@
 	}
 
 	/**
-	 * Closes the connection of an abandoned request that is not idempotent; its server
-	 * may have dropped the connection without closing it.
+	 * Resets the connection of an abandoned request that is not idempotent. A request
+	 * that has not reached its server by now would run long after its caller gave it up.
 	 */
 	private void closeAbandonedAttempt() {
 		if (this.attemptOpen) {
