Apply changed limits to open connections

The body's limit is asked for at each request, and each head is compared with the plan in force; the decoder, whose limit cannot change, reads up to 64 KiB.

--- a/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
+++ b/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
@@ -36,6 +36,8 @@
 
 	private MessageBody body;
 
+	private int limitAtStart;
+
 	/**
 	 * Creates a new aggregator.
 	 * @param maximumBytes returns the maximum size of a body in bytes, which may change
@@ -81,8 +83,9 @@
 		}
 		this.head = request;
 		this.body = this.memory.newBody(this::refuseForMemory);
+		this.limitAtStart = this.maximumBytes.getAsInt();
 		long length = HttpUtil.getContentLength(request, 0L);
-		if (length > this.maximumBytes.getAsInt()) {
+		if (length > this.limitAtStart) {
 			refuse(RefusedRequest.tooLarge(request.headers()));
 		}
 		else if (length > this.memory.limitBytes()) {
@@ -103,7 +106,8 @@
 			passOn(failed, new DefaultFullHttpRequest(failed.protocolVersion(), failed.method(), failed.uri(),
 					Unpooled.EMPTY_BUFFER, failed.headers(), failed.headers().copy()));
 		}
-		else if (this.body.length() + content.content().readableBytes() > this.maximumBytes.getAsInt()) {
+		else if (this.body.length() + content.content().readableBytes() > Math.max(this.limitAtStart,
+				this.maximumBytes.getAsInt())) {
 			refuse(RefusedRequest.tooLarge(this.head.headers()));
 		}
 		else if (!this.body.append(content.content())) {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
 import io.masticlane.caller.BodyAggregator;
@@ -38,10 +40,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AttributeKey;
 
 /**
@@ -72,6 +76,17 @@
 
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
+	/**
+	 * The largest head that is read, whatever a plan allows. The decoder of a connection
+	 * keeps its limit, and the limit of the plan may change.
+	 */
+	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
+
+	/**
+	 * The bytes of a header beside its name and value.
+	 */
+	private static final int HEADER_OVERHEAD_BYTES = ": \r\n".length();
+
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.loops.next();
@@ -312,14 +327,14 @@
 		return listen(address, new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				CallerLimits limits = GatewayDaemon.this.gateway.plan().limits();
 				ReadTimeoutTracker timeouts = new ReadTimeoutTracker();
 				channel.attr(TIMEOUTS).set(timeouts);
 				channel.pipeline()
 					.addLast(timeouts,
 							new CallerCodec(new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-								.setMaxHeaderSize(limits.maximumHeadBytes())),
-							new HeadListener(timeouts),
+								.setMaxHeaderSize(MAXIMUM_HEAD_BYTES)),
+							new HeadListener(timeouts,
+									() -> GatewayDaemon.this.gateway.plan().limits().maximumHeadBytes()),
 							new BodyAggregator(() -> GatewayDaemon.this.gateway.plan().limits().maximumBodyBytes(),
 									GatewayDaemon.this.gateway.memory()),
 							new CallerHandler((caller, request) -> new ProxiedRequest(GatewayDaemon.this.gateway,
@@ -363,24 +378,41 @@
 	}
 
 	/**
-	 * Notifies the timeout tracker of a connection when a request's head was decoded.
+	 * Notifies the timeout tracker of a connection when a request's head was decoded, and
+	 * marks a head that is larger than the plan in force allows.
 	 */
 	private static final class HeadListener extends ChannelInboundHandlerAdapter {
 
 		private final ReadTimeoutTracker timeouts;
 
-		private HeadListener(ReadTimeoutTracker timeouts) {
+		private final IntSupplier maximumBytes;
+
+		private HeadListener(ReadTimeoutTracker timeouts, IntSupplier maximumBytes) {
 			this.timeouts = timeouts;
+			this.maximumBytes = maximumBytes;
 		}
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-			if (message instanceof HttpRequest) {
+			if (message instanceof HttpRequest request) {
 				this.timeouts.headReceived();
+				if (request.decoderResult().isSuccess() && headBytes(request) > this.maximumBytes.getAsInt()) {
+					request.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException()));
+				}
 			}
 			super.channelRead(context, message);
 		}
 
+		private static int headBytes(HttpRequest request) {
+			int bytes = 0;
+			Iterator<Map.Entry<CharSequence, CharSequence>> headers = request.headers().iteratorCharSequence();
+			while (headers.hasNext()) {
+				Map.Entry<CharSequence, CharSequence> header = headers.next();
+				bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
+			}
+			return bytes;
+		}
+
 	}
 
 }
