Heed a server's announcements of departure and of a pause

Neither header was read: a server went on receiving requests as long as its entry was ready, 29 ms after it had asked for a pause of two seconds.

A server's state now holds both with their times, placing leaves such servers out, and event 6109 tells of them. What no server may take is refused at once with the time when the first pause ends.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -158,6 +158,12 @@
 	REGIONS_CHANGED(6108, Severity.INFORMATION,
 			"moved_percent={} before={} after={} reasons={} refused={} own_shares={}"),
 
+	/**
+	 * A response of a backend server announced that it leaves or wants no requests for a
+	 * while.
+	 */
+	SERVER_ANNOUNCED(6109, Severity.INFORMATION, "server={} service={} announcement={} for_ms={} request={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
@@ -126,8 +126,12 @@
 	 * @param encoded whether the body was encoded after the server created it
 	 * @param load the number of requests that the server is running and queueing, or -1
 	 * if unknown
+	 * @param leaving whether the server announces that it is leaving
+	 * @param pauseMillis how long the server wants no further requests from this gateway,
+	 * in milliseconds, or zero
 	 */
-	record ServerResponse(Optional<String> id, boolean signed, boolean notRun, boolean encoded, int load) {
+	record ServerResponse(Optional<String> id, boolean signed, boolean notRun, boolean encoded, int load,
+			boolean leaving, long pauseMillis) {
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -281,7 +282,9 @@
 		Optional<Placement.Choice> found = this.gateway.placement()
 			.choose(this.placementRequest.withExcluded(this.triedServers), now);
 		if (found.isEmpty()) {
-			abort("no_server", 0, 0, DEFAULT_RETRY_AFTER_MILLIS);
+			OptionalLong pauseMillis = this.gateway.placement().pauseMillis(this.placementRequest, now);
+			abort(pauseMillis.isPresent() ? "paused" : "no_server", 0, 0,
+					Math.max(DEFAULT_RETRY_AFTER_MILLIS, pauseMillis.orElse(0)));
 			return;
 		}
 		Placement.Choice chosen = found.get();
@@ -342,6 +345,7 @@
 		if (parsed.load() >= 0) {
 			server.recordReportedLoad(parsed.load(), now);
 		}
+		recordAnnouncements(server, parsed, now);
 		if (parsed.notRun()) {
 			boolean misdirected = response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 			if (misdirected) {
@@ -383,6 +387,16 @@
 		deliver(server, response, success);
 	}
 
+	private void recordAnnouncements(ServerState server, Dialect.ServerResponse parsed, long now) {
+		if (parsed.leaving() && server.recordLeaving(now)) {
+			this.events.announced(server, "leaving", 0);
+			this.gateway.connections().closeIdle(server.entry().address());
+		}
+		if (parsed.pauseMillis() > 0 && server.recordPause(parsed.pauseMillis(), now)) {
+			this.events.announced(server, "pause", server.pauseMillis(now));
+		}
+	}
+
 	private void deliver(ServerState server, FullHttpResponse response, boolean success) {
 		boolean impliesNotRun = Set.of(408, 421, 429, 503).contains(response.status().code());
 		if (impliesNotRun) {
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -188,7 +189,7 @@
 	 */
 	public void update(List<Map<String, Double>> others, long now) {
 		this.services.forEach((service, servers) -> {
-			Map<String, RegionLoad> loads = servers.loads(this::isInService, now);
+			Map<String, RegionLoad> loads = servers.loads((server) -> isInService(server, now), now);
 			loads.forEach((name, each) -> this.congestionDetectors
 				.computeIfAbsent(service + "@" + name, (key) -> new CongestionDetector())
 				.update(each.utilization()));
@@ -216,7 +217,7 @@
 	public Optional<Choice> choose(Request request, long now) {
 		this.overflowTokens = Math.min(MAXIMUM_OVERFLOW_TOKENS, this.overflowTokens + OVERFLOW_TOKENS_PER_REQUEST);
 		UsableServers servers = servers(request.service()).usableServers(
-				(server) -> isInService(server) && isAllowed(request, server), (server) -> !server.isEjected(now),
+				(server) -> isInService(server, now) && isAllowed(request, server), (server) -> !server.isEjected(now),
 				1 - MAXIMUM_EJECTED_FRACTION);
 		if (servers.isEmpty()) {
 			return Optional.empty();
@@ -249,6 +250,22 @@
 		return best;
 	}
 
+	/**
+	 * Returns how long it takes until a server that wants no requests at present may
+	 * receive this one.
+	 * @param request the request to place
+	 * @param now the current time in nanoseconds
+	 * @return the time in milliseconds, or empty if no server is pausing
+	 */
+	public OptionalLong pauseMillis(Request request, long now) {
+		return servers(request.service()).all()
+			.stream()
+			.filter((server) -> !server.isLeaving(now) && isAllowed(request, server))
+			.mapToLong((server) -> server.pauseMillis(now))
+			.filter((millis) -> millis > 0)
+			.min();
+	}
+
 	/**
 	 * Returns the measured service times of a route.
 	 * @param route the route
@@ -282,8 +299,8 @@
 			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().localFraction()));
 	}
 
-	private boolean isInService(ServerState server) {
-		return !server.entry().leaving() && (this.evacuatedDataCentres.isEmpty()
+	private boolean isInService(ServerState server, long now) {
+		return !server.isLeaving(now) && server.pauseMillis(now) == 0 && (this.evacuatedDataCentres.isEmpty()
 				|| !this.evacuatedDataCentres.contains(server.entry().dataCentre()));
 	}
 
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -67,6 +67,17 @@
 	 */
 	private static final long RECENT_RESPONSE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+	/**
+	 * How long an announcement that the server leaves is believed: longer than any server
+	 * stays, so that a mistaken one does not last for good.
+	 */
+	private static final long LEAVING_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+	/**
+	 * The longest pause that a server can ask for.
+	 */
+	private static final long MAXIMUM_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(5);
+
 	private static final double FAILURE_WEIGHT = 0.15;
 
 	/**
@@ -124,6 +135,14 @@
 
 	private int ejections;
 
+	private boolean leaving;
+
+	private long leavingUntil;
+
+	private boolean paused;
+
+	private long pausedUntil;
+
 	private int consecutiveFailures;
 
 	private double failureRatio;
@@ -169,6 +188,8 @@
 			this.consecutiveFailures = 0;
 			this.failureRatio = 0;
 			this.ejected = false;
+			this.leaving = false;
+			this.paused = false;
 		}
 		this.entry = updated;
 		this.cold = false;
@@ -187,6 +208,57 @@
 		this.coldUntil = now + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
+	/**
+	 * Records that a response of the server announced that it is leaving. This holds
+	 * whatever its entry says, until an entry shows that the server was started again.
+	 * @param now the current time in nanoseconds
+	 * @return whether this was not known
+	 */
+	public boolean recordLeaving(long now) {
+		boolean known = isLeaving(now);
+		this.leaving = true;
+		this.leavingUntil = now + LEAVING_NANOS;
+		return !known;
+	}
+
+	/**
+	 * Records that the server turned a request away and wants no others for a while.
+	 * @param millis the time in milliseconds
+	 * @param now the current time in nanoseconds
+	 * @return whether the server was not pausing
+	 */
+	public boolean recordPause(long millis, long now) {
+		boolean known = pauseMillis(now) > 0;
+		long until = now + Math.min(MAXIMUM_PAUSE_NANOS, TimeUnit.MILLISECONDS.toNanos(millis));
+		this.pausedUntil = known ? Math.max(this.pausedUntil, until) : until;
+		this.paused = true;
+		return !known;
+	}
+
+	/**
+	 * Returns whether the server is leaving, as its entry says or a response announced.
+	 * @param now the current time in nanoseconds
+	 * @return whether the server is leaving
+	 */
+	public boolean isLeaving(long now) {
+		if (this.leaving && now - this.leavingUntil >= 0) {
+			this.leaving = false;
+		}
+		return this.leaving || this.entry.leaving();
+	}
+
+	/**
+	 * Returns how long the server still wants no requests.
+	 * @param now the current time in nanoseconds
+	 * @return the time in milliseconds, or zero
+	 */
+	public long pauseMillis(long now) {
+		if (this.paused && now - this.pausedUntil >= 0) {
+			this.paused = false;
+		}
+		return this.paused ? 1 + TimeUnit.NANOSECONDS.toMillis(this.pausedUntil - now) : 0;
+	}
+
 	/**
 	 * Records that a request is sent to the server.
 	 * @param now the current time in nanoseconds
--- a/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
@@ -37,6 +37,34 @@
 		assertFalse(this.server.isEjected(TimeUnit.SECONDS.toNanos(2)));
 	}
 
+	@Test
+	public void anAnnouncedDepartureHoldsUntilTheServerStartsAgain() {
+		assertTrue(this.server.recordLeaving(0));
+		assertFalse(this.server.recordLeaving(1));
+		this.server.entry(entry(1, 0), TimeUnit.SECONDS.toNanos(5));
+		assertTrue(this.server.isLeaving(TimeUnit.SECONDS.toNanos(5)));
+		this.server.entry(entry(2, 0), TimeUnit.SECONDS.toNanos(6));
+		assertFalse(this.server.isLeaving(TimeUnit.SECONDS.toNanos(6)));
+	}
+
+	@Test
+	public void aMistakenAnnouncementDoesNotTakeTheServerOutForGood() {
+		this.server.recordLeaving(0);
+		this.server.recordPause(Long.MAX_VALUE, 0);
+		assertTrue(this.server.pauseMillis(TimeUnit.MINUTES.toNanos(4)) > 0);
+		assertEquals(this.server.pauseMillis(TimeUnit.MINUTES.toNanos(5)), 0);
+		assertTrue(this.server.isLeaving(TimeUnit.MINUTES.toNanos(9)));
+		assertFalse(this.server.isLeaving(TimeUnit.MINUTES.toNanos(10)));
+	}
+
+	@Test
+	public void aShorterPauseDoesNotEndALongerOne() {
+		assertTrue(this.server.recordPause(2_000, 0));
+		assertFalse(this.server.recordPause(100, TimeUnit.SECONDS.toNanos(1)));
+		assertTrue(this.server.pauseMillis(TimeUnit.MILLISECONDS.toNanos(1_999)) > 0);
+		assertEquals(this.server.pauseMillis(TimeUnit.MILLISECONDS.toNanos(2_000)), 0);
+	}
+
 	@Test
 	public void aSingleLostResponseDoesNotEjectTheServer() {
 		this.server.recordFailure(0);
