--- a/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
+++ b/masticlane/src/main/java/io/masticlane/caller/BodyAggregator.java
@@ -7,8 +7,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -77,8 +79,7 @@
 	private void start(HttpRequest request) {
 		discard();
 		if (request.decoderResult().isFailure()) {
-			passOn(request, new DefaultFullHttpRequest(request.protocolVersion(), request.method(), request.uri(),
-					Unpooled.EMPTY_BUFFER, request.headers(), request.headers().copy()));
+			passOnMalformed(request, request.decoderResult());
 			return;
 		}
 		this.head = request;
@@ -102,9 +103,7 @@
 		if (content.decoderResult().isFailure()) {
 			HttpRequest failed = this.head;
 			discard();
-			failed.setDecoderResult(content.decoderResult());
-			passOn(failed, new DefaultFullHttpRequest(failed.protocolVersion(), failed.method(), failed.uri(),
-					Unpooled.EMPTY_BUFFER, failed.headers(), failed.headers().copy()));
+			passOnMalformed(failed, content.decoderResult());
 		}
 		else if (this.body.length() + content.content().readableBytes() > Math.max(this.limitAtStart,
 				this.maximumBytes.getAsInt())) {
@@ -122,13 +121,15 @@
 					completed.uri(), completedBody.complete(), completed.headers(), last.trailingHeaders());
 			HttpUtil.setTransferEncodingChunked(request, false);
 			HttpUtil.setContentLength(request, request.content().readableBytes());
-			passOn(completed, request);
+			this.context.fireChannelRead(request);
 		}
 	}
 
-	private void passOn(HttpRequest source, FullHttpRequest request) {
-		request.setDecoderResult(source.decoderResult());
-		this.context.fireChannelRead(request);
+	private void passOnMalformed(HttpRequest request, DecoderResult failure) {
+		FullHttpRequest malformed = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
+				request.uri(), Unpooled.EMPTY_BUFFER, request.headers(), EmptyHttpHeaders.INSTANCE);
+		malformed.setDecoderResult(failure);
+		this.context.fireChannelRead(malformed);
 	}
 
 	private void refuseForMemory() {
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.masticlane.message.Message;
 
@@ -174,9 +173,10 @@
 	 * @return the number, at least one
 	 */
 	public int regionSize(String region) {
-		Stream<Gateway> sharing = Stream.concat(this.members.values().stream(),
-				this.lapsed.values().stream().map(LapsedMember::gateway));
-		return Math.max(1, (int) sharing.filter((gateway) -> gateway.region().equals(region)).count());
+		long reserved = this.lapsed.isEmpty() ? 0
+				: this.lapsed.values().stream().filter((member) -> member.gateway().region().equals(region)).count();
+		long members = this.members.values().stream().filter((gateway) -> gateway.region().equals(region)).count();
+		return (int) Math.max(1, members + reserved);
 	}
 
 	/**
