--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -53,7 +53,7 @@
 		}
 		Recorder recorder = new Recorder();
 		exchange(channel, handler, recorder, beginning);
-		channel.close();
+		channel.finishAndReleaseAll();
 		return recorder.events;
 	}
 
