Let a stop end while requests wait for the first plan

Callers would have seen: a connection cut without a response, and the process ended by SIGKILL, if a gateway that never read its plan is stopped and a request has arrived in the last second.

Found by reading the diff.

A waiting request is now processed first, which refuses it without a plan.

--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -229,6 +229,8 @@
 
 	@Override
 	public void gatewayEnds() {
+		// Without a plan the request is refused, as it is when no time is left.
+		resume();
 		if (this.finished) {
 			return;
 		}
