Count the time of a planned stop from SIGTERM

Callers would have seen: connections cut by SIGKILL at the end of a stop that began while the gateway was busy, for instance just after its start.

Cause: the schedule of a stop counted from when the event loop turned to it. A loop that was late by 0.5 s used up the margin for the end of the process.

The schedule now begins when SIGTERM is handled.

--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -176,10 +176,10 @@
 	 * flight are completed, and the method returns at the end or after the grace period.
 	 */
 	public void stop() {
-		this.loop.execute(this::startDraining);
+		StopSchedule schedule = StopSchedule.of(System.nanoTime(), this.currentSettings.graceSeconds());
+		this.loop.execute(() -> startDraining(schedule));
 		try {
-			this.terminated.await((long) (this.currentSettings.graceSeconds() * TimeUnit.SECONDS.toMillis(1)),
-					TimeUnit.MILLISECONDS);
+			this.terminated.await(schedule.graceMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -283,14 +283,13 @@
 					this.follower.ageMillis() / (double) TimeUnit.SECONDS.toMillis(1), this.events.droppedLines());
 	}
 
-	private void startDraining() {
+	private void startDraining(StopSchedule schedule) {
 		if (this.gateway.isLeaving()) {
 			return;
 		}
-		StopSchedule schedule = StopSchedule.of(System.nanoTime(), this.currentSettings.graceSeconds());
 		this.events.record(Event.GATEWAY_STOPPING, this.settings.host(), this.gateway.inFlight());
 		this.gateway.leave(schedule);
-		this.fleet.memberUpdated(self(), schedule.startedAt());
+		this.fleet.memberUpdated(self(), System.nanoTime());
 		this.registration.rewrite();
 		this.peers.report(false);
 		this.loop.schedule(() -> stopWhenDrained(schedule), schedule.lingerMillis(), TimeUnit.MILLISECONDS);
