Check the health of servers while the store is silent

Cause: a gateway learns from the store, or from the end of an evacuation, that a server is cold, and trusted its last view at any age. Requests of the second before a server was found to be cold did not count towards its bound either.

The two new tests of PlacementTests need the new methods; the one about the last second fails without its part of the change.

While the store is overdue, a server gets at most the gateway's part of the cold bound since a health check last showed it to be warm, so that it does not matter when it became cold.

ViewFreshness now holds what the gateway knows about the age of its view; shares, reported evacuations and health checks ask it. ServerAnnouncements is taken out of ProxiedRequest, as health responses announce departures too.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -164,6 +164,12 @@
 	 */
 	SERVER_ANNOUNCED(6109, Severity.INFORMATION, "server={} service={} announcement={} for_ms={} request={}"),
 
+	/**
+	 * A health check showed that a backend server is cold, while the store does not
+	 * respond.
+	 */
+	SERVER_FOUND_COLD(6110, Severity.INFORMATION, "server={} service={} cold_ms={} store_age_ms={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
@@ -57,6 +57,14 @@
 	 */
 	ServerResponse response(HttpResponse response);
 
+	/**
+	 * Parses the head of a response to a health check.
+	 * @param response the response
+	 * @return the state of the server that responded, or empty if the response does not
+	 * tell it
+	 */
+	Optional<ServerHealth> health(HttpResponse response);
+
 	/**
 	 * Parses a plan.
 	 * @param document the document that operators wrote
@@ -134,6 +142,16 @@
 			boolean leaving, long pauseMillis) {
 	}
 
+	/**
+	 * The state of a server as its response to a health check reports it.
+	 *
+	 * @param serverId the identifier of the server
+	 * @param coldMillis how long the server remains cold, in milliseconds, or zero if it
+	 * is not cold
+	 */
+	record ServerHealth(String serverId, long coldMillis) {
+	}
+
 	/**
 	 * A classified key of the store.
 	 *
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.ObjLongConsumer;
 
 import io.masticlane.admission.AdmissionPolicy;
 import io.masticlane.admission.RetryAllowance;
@@ -13,6 +14,7 @@
 import io.masticlane.memory.MessageMemory;
 import io.masticlane.placement.Placement;
 import io.masticlane.placement.RegionFlow;
+import io.masticlane.placement.ServerState;
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.quota.RateShares;
 import io.masticlane.setting.GatewaySettings;
@@ -60,6 +62,11 @@
 
 	private final ConnectionPool servers;
 
+	private final ServerAnnouncements announcements;
+
+	private ObjLongConsumer<ServerState> requestSentListener = (server, now) -> {
+	};
+
 	private final StartupQueue startupQueue = new StartupQueue(MAXIMUM_STARTUP_REQUESTS);
 
 	private TrafficPlan plan = TrafficPlan.empty();
@@ -80,6 +87,7 @@
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
 		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
 				this.memory);
+		this.announcements = new ServerAnnouncements(this.servers, events);
 	}
 
 	void settings(GatewaySettings updated) {
@@ -125,6 +133,14 @@
 		this.inFlight++;
 	}
 
+	void requestSentListener(ObjLongConsumer<ServerState> listener) {
+		this.requestSentListener = listener;
+	}
+
+	void requestSent(ServerState server, long now) {
+		this.requestSentListener.accept(server, now);
+	}
+
 	void requestFinished(String route, String outcome, long nanos) {
 		this.inFlight--;
 		this.metrics.requestFinished(route, outcome, nanos);
@@ -170,6 +186,10 @@
 		return this.servers;
 	}
 
+	ServerAnnouncements announcements() {
+		return this.announcements;
+	}
+
 	MessageMemory memory() {
 		return this.memory;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -113,6 +113,10 @@
 
 	private final Registration registration;
 
+	private final ViewFreshness freshness;
+
+	private final HealthChecks healthChecks;
+
 	private final PeerReports peers;
 
 	private final String incarnation = UUID.randomUUID().toString().substring(0, 8);
@@ -139,8 +143,11 @@
 		this.follower = new StoreFollower(this.loop, store, this.view, followPauseMillis);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
 				(lease, reason) -> events.record(Event.REGISTRATION_LOST, settings.host(), lease, reason));
-		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower,
-				this.registration::nanosSinceRenewal, new Peer(settings.host(), this.incarnation));
+		this.freshness = new ViewFreshness(this.follower, this.registration, this.fleet);
+		this.healthChecks = new HealthChecks(this.gateway, this.freshness);
+		this.gateway.requestSentListener(this.healthChecks::requestSent);
+		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower, this.freshness,
+				new Peer(settings.host(), this.incarnation));
 	}
 
 	/**
@@ -245,6 +252,7 @@
 		long now = System.nanoTime();
 		this.view.expire(now);
 		this.fleet.expire(now);
+		this.healthChecks.update(now);
 		this.gateway.placement().update(this.fleet.localFractions(this.settings.region(), now), now);
 		this.gateway.regionFlow()
 			.closeWindow(now)
@@ -280,7 +288,8 @@
 		this.gateway.metrics().localFractions(this.gateway.placement().localFractions());
 		this.gateway.metrics()
 			.known(this.gateway.placement().servers().size(), this.fleet.size(), this.view.rejectedDocuments(),
-					this.follower.ageMillis() / (double) TimeUnit.SECONDS.toMillis(1), this.events.droppedLines());
+					this.freshness.storeAgeMillis() / (double) TimeUnit.SECONDS.toMillis(1),
+					this.events.droppedLines());
 	}
 
 	private void startDraining(StopSchedule schedule) {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -55,6 +55,12 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
+	private final Counter healthChecks = Counter.builder()
+		.name("masticlane_gateway_health_checks_total")
+		.help("Health checks of backend servers while the store does not respond, by result.")
+		.labelNames("result")
+		.register(this.registry);
+
 	private final Gauge planVersion = Gauge.builder()
 		.name("masticlane_gateway_plan_version")
 		.help("The version of the traffic plan in force.")
@@ -93,6 +99,10 @@
 		this.storeCalls.labelValues(succeeded ? "answered" : "failed").inc();
 	}
 
+	void healthCheckFinished(String result) {
+		this.healthChecks.labelValues(result).inc();
+	}
+
 	void planChanged(long version) {
 		this.planVersion.set(version);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
@@ -37,7 +36,7 @@
 
 	private final StoreFollower store;
 
-	private final LongSupplier nanosSinceRenewal;
+	private final ViewFreshness freshness;
 
 	private final Peer self;
 
@@ -52,12 +51,12 @@
 	private int reportsSent;
 
 	PeerReports(EventLoopGroup loops, GatewayContext gateway, GatewayFleet fleet, GatewayView view, StoreFollower store,
-			LongSupplier nanosSinceRenewal, Peer self) {
+			ViewFreshness freshness, Peer self) {
 		this.gateway = gateway;
 		this.fleet = fleet;
 		this.view = view;
 		this.store = store;
-		this.nanosSinceRenewal = nanosSinceRenewal;
+		this.freshness = freshness;
 		this.self = self;
 		this.network = new PeerNetwork(loops, self, GatewayTimes.PEER_IDLE_TIMEOUT_MILLIS, this, gateway.events());
 	}
@@ -85,8 +84,8 @@
 	 */
 	void report(boolean ready) {
 		long now = System.nanoTime();
-		if (this.fleet.retainsShare(this.nanosSinceRenewal.getAsLong(), now)) {
-			this.gateway.shares().divide(this.fleet.size(), this.fleet.freshReportCount(now) + 1, now);
+		if (this.freshness.retainsShare(now)) {
+			this.gateway.shares().divide(this.fleet.size(), this.gateway.reportingGateways(), now);
 		}
 		else {
 			this.gateway.shares().suspend(now);
@@ -138,8 +137,8 @@
 			this.planOutdatedSince = now;
 			this.network.send(peer.host(), new Message.ConfigurationQuery(this.gateway.plan().version()));
 		}
-		boolean storeLost = this.store.isOverdue();
-		if (storeLost && report.storePosition() > Math.max(this.appliedPosition, this.store.position())) {
+		if (this.freshness.isStoreOverdue()
+				&& report.storePosition() > Math.max(this.appliedPosition, this.store.position())) {
 			this.appliedPosition = report.storePosition();
 			this.view.updateEvacuations(
 					Arrays.stream(report.evacuated().split(",")).filter((dataCentre) -> !dataCentre.isEmpty()).toList(),
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -321,6 +321,7 @@
 		this.triedServers.add(server.entry().id());
 		this.attempts++;
 		server.recordRequestSent(now);
+		this.gateway.requestSent(server, now);
 		this.gateway.regionFlow().recordSent(chosen);
 		this.gateway.metrics().regionChosen(this.placementRequest.service(), chosen);
 		this.sentAt = now;
@@ -347,7 +348,7 @@
 		if (parsed.load() >= 0) {
 			server.recordReportedLoad(parsed.load(), now);
 		}
-		recordAnnouncements(server, parsed, now);
+		this.gateway.announcements().record(server, parsed, this.callerRequest.id(), now);
 		if (parsed.notRun()) {
 			boolean misdirected = response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
 			if (misdirected) {
@@ -389,16 +390,6 @@
 		deliver(server, response, success);
 	}
 
-	private void recordAnnouncements(ServerState server, Dialect.ServerResponse parsed, long now) {
-		if (parsed.leaving() && server.recordLeaving(now)) {
-			this.events.announced(server, "leaving", 0);
-			this.gateway.connections().closeIdle(server.entry().address());
-		}
-		if (parsed.pauseMillis() > 0 && server.recordPause(parsed.pauseMillis(), now)) {
-			this.events.announced(server, "pause", server.pauseMillis(now));
-		}
-	}
-
 	private void deliver(ServerState server, FullHttpResponse response, boolean success) {
 		boolean impliesNotRun = Set.of(408, 421, 429, 503).contains(response.status().code());
 		if (impliesNotRun) {
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -64,11 +64,6 @@
 		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(), detail);
 	}
 
-	void announced(ServerState server, String announcement, long millis) {
-		this.log.record(Event.SERVER_ANNOUNCED, server.entry().id(), server.entry().service(), announcement, millis,
-				this.id);
-	}
-
 	void ejected(ServerState server, String reason) {
 		this.log.record(Event.SERVER_EJECTED, server.entry().id(), server.entry().service(), reason);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -73,11 +73,12 @@
 	}
 
 	/**
-	 * Returns whether the store has not responded for longer than a pause and a read.
-	 * @return whether a response is overdue
+	 * Returns for how long a response of the store has been overdue, that is, has taken
+	 * longer than a pause and a read.
+	 * @return the time in milliseconds, negative if no response is overdue
 	 */
-	boolean isOverdue() {
-		return ageMillis() > this.pauseMillis + GatewayTimes.LONG_POLL_MILLIS + GatewayTimes.STORE_LOST_MARGIN_MILLIS;
+	long overdueMillis() {
+		return ageMillis() - this.pauseMillis - GatewayTimes.LONG_POLL_MILLIS - GatewayTimes.STORE_LOST_MARGIN_MILLIS;
 	}
 
 	private void readAll() {
@@ -157,7 +158,7 @@
 			succeeded();
 			this.position = -1;
 		}
-		else if (!this.lost && isOverdue()) {
+		else if (!this.lost && overdueMillis() > 0) {
 			this.lost = true;
 			this.listener.storeLost(String.valueOf(failure.getMessage()));
 		}
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -112,6 +112,8 @@
 
 	private Set<String> evacuatedDataCentres = Set.of();
 
+	private Set<String> outdatedServices = Set.of();
+
 	private double overflowTokens = MAXIMUM_OVERFLOW_TOKENS;
 
 	private long updatedAt;
@@ -181,6 +183,32 @@
 		this.evacuatedDataCentres = Set.copyOf(dataCentres);
 	}
 
+	/**
+	 * Replaces the set of services whose servers may have become cold unnoticed, since
+	 * the store does not respond. Until such a server reports that it is not cold, it
+	 * receives no more requests than a cold one may.
+	 * @param names the names of the services
+	 */
+	public void setOutdatedServices(Set<String> names) {
+		this.outdatedServices = Set.copyOf(names);
+	}
+
+	/**
+	 * Returns whether a server that may have become cold unnoticed soon receives no more
+	 * requests unless it reports that it is not cold.
+	 * @param server the server
+	 * @param coldRequestsPerSecond the rate of requests that a cold server of the service
+	 * can handle
+	 * @param gatewaysInRegion the number of gateways in the region
+	 * @param now the current time in nanoseconds
+	 * @return whether the server is to be asked
+	 */
+	public boolean isNearColdBound(ServerState server, double coldRequestsPerSecond, int gatewaysInRegion, long now) {
+		int sent = server.possiblyColdRequestsInLastSecond(now);
+		return sent > 0 && !server.isCold(now)
+				&& 2 * sent >= possiblyColdAllowance(server, coldRequestsPerSecond, gatewaysInRegion);
+	}
+
 	/**
 	 * Updates congestion and the region splits from the load of the servers.
 	 * @param others the {@link #localFractions()} that the other gateways of the region
@@ -318,11 +346,15 @@
 	}
 
 	private Optional<Choice> chooseFastest(Request request, List<ServerState> servers, long now) {
-		Predicate<ServerState> cold = (each) -> each.isCold(now);
-		boolean allCold = servers.stream().allMatch(cold);
-		List<ServerState> candidates = servers.stream()
-			.filter((each) -> allCold ? hasColdCapacity(each, request, now) : !each.isCold(now))
-			.toList();
+		boolean outdated = this.outdatedServices.contains(request.service());
+		Predicate<ServerState> usable = (each) -> !each.isCold(now)
+				&& (!outdated || hasPossiblyColdCapacity(each, request, now));
+		List<ServerState> candidates = servers.stream().filter(usable).toList();
+		if (candidates.isEmpty()) {
+			candidates = servers.stream()
+				.filter((each) -> each.isCold(now) && hasColdCapacity(each, request, now))
+				.toList();
+		}
 		List<ServerState> ranked = withAssignedFirst(request, ranked(request, candidates), now);
 		List<Choice> choices = new ArrayList<>();
 		boolean congested = !ranked.isEmpty() && isCongested(request.service(), ranked.get(0).region());
@@ -389,12 +421,26 @@
 	}
 
 	private boolean hasColdCapacity(ServerState server, Request request, long now) {
-		if (!server.region().equals(this.region)) {
-			return false;
-		}
-		double bound = request.coldRequestsPerSecond() * this.coldOvershoot + this.coldSlack;
-		return server.coldRequestsInLastSecond(now) < Math
-			.floor(bound * COLD_BOUND_FRACTION / request.gatewaysInRegion());
+		return server.region().equals(this.region)
+				&& server.possiblyColdRequestsInLastSecond(now) < coldAllowance(request.coldRequestsPerSecond(),
+						request.gatewaysInRegion());
+	}
+
+	private boolean hasPossiblyColdCapacity(ServerState server, Request request, long now) {
+		return server.possiblyColdRequestsInLastSecond(now) < possiblyColdAllowance(server,
+				request.coldRequestsPerSecond(), request.gatewaysInRegion());
+	}
+
+	// The gateways of the server's own region divide the bound among them, so those of
+	// other regions send one request at a time.
+	private int possiblyColdAllowance(ServerState server, double coldRequestsPerSecond, int gatewaysInRegion) {
+		return server.region().equals(this.region) ? Math.max(1, coldAllowance(coldRequestsPerSecond, gatewaysInRegion))
+				: 1;
+	}
+
+	private int coldAllowance(double coldRequestsPerSecond, int gatewaysInRegion) {
+		double bound = coldRequestsPerSecond * this.coldOvershoot + this.coldSlack;
+		return (int) Math.min(RequestTimes.CAPACITY, bound * COLD_BOUND_FRACTION / gatewaysInRegion);
 	}
 
 	private record Ranked(double score, ServerState server) {
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -1,7 +1,5 @@
 package io.masticlane.placement;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -95,7 +93,7 @@
 		}
 	};
 
-	private final Deque<Long> coldRequestTimes = new ArrayDeque<>();
+	private final RequestTimes requestTimes = new RequestTimes();
 
 	private final Slowness slowness = new Slowness();
 
@@ -121,6 +119,8 @@
 
 	private boolean cold;
 
+	private long warmAt;
+
 	private boolean possiblyCold;
 
 	private long unreachableAt;
@@ -157,6 +157,7 @@
 		this.hash = Rendezvous.hash(entry.id());
 		this.region = region;
 		this.discoveredAt = now;
+		this.warmAt = now - SECOND_NANOS;
 		entry(entry, now);
 	}
 
@@ -265,9 +266,7 @@
 	 */
 	public void recordRequestSent(long now) {
 		this.inFlight++;
-		if (isCold(now)) {
-			this.coldRequestTimes.addLast(now);
-		}
+		this.requestTimes.add(now);
 	}
 
 	/**
@@ -407,16 +406,24 @@
 	}
 
 	/**
-	 * Returns the number of requests that were sent in the last second while the server
-	 * was cold.
+	 * Records that the server itself reported not to be cold.
+	 * @param askedAt the time at which it was asked, in nanoseconds
+	 */
+	public void recordWarm(long askedAt) {
+		if (askedAt - this.warmAt > 0) {
+			this.warmAt = askedAt;
+		}
+	}
+
+	/**
+	 * Returns the number of requests that were sent in the last second and may have
+	 * reached the server after it became cold.
 	 * @param now the current time in nanoseconds
 	 * @return the number of requests
 	 */
-	public int coldRequestsInLastSecond(long now) {
-		while (!this.coldRequestTimes.isEmpty() && now - this.coldRequestTimes.peekFirst() > SECOND_NANOS) {
-			this.coldRequestTimes.pollFirst();
-		}
-		return this.coldRequestTimes.size();
+	public int possiblyColdRequestsInLastSecond(long now) {
+		long secondAgo = now - SECOND_NANOS;
+		return this.requestTimes.countAfter((this.warmAt - secondAgo > 0) ? this.warmAt : secondAgo);
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/plan/ServicePlan.java
+++ b/masticlane/src/main/java/io/masticlane/plan/ServicePlan.java
@@ -10,6 +10,9 @@
  * start
  * @param coldRequestsPerSecond the rate of requests that a cold backend server can
  * process
+ * @param healthCheckPath the path of the health check of backend servers, or an empty
+ * string if they have none
  */
-public record ServicePlan(String name, int maximumConnections, double coldSeconds, double coldRequestsPerSecond) {
+public record ServicePlan(String name, int maximumConnections, double coldSeconds, double coldRequestsPerSecond,
+		String healthCheckPath) {
 }
--- a/masticlane/src/main/java/io/masticlane/plan/TrafficPlan.java
+++ b/masticlane/src/main/java/io/masticlane/plan/TrafficPlan.java
@@ -107,6 +107,14 @@
 		return this.organisations;
 	}
 
+	/**
+	 * Returns the services by name.
+	 * @return the services by name
+	 */
+	public Map<String, ServicePlan> services() {
+		return this.services;
+	}
+
 	/**
 	 * Returns a service.
 	 * @param name the name of the service
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -120,15 +120,52 @@
 	public void coldServersReceiveRequestsWithinTheirBoundWhenAllServersAreCold() {
 		Placement placement = placement("west", 1, 0);
 		placement.server("s", "west-0").orElseThrow().markCold(3_000, LATER);
-		int sent = 0;
-		for (int object = 0; object < 100; object++) {
-			Optional<Placement.Choice> choice = placement.choose(request(object, Set.of(), Set.of()), LATER);
-			if (choice.isPresent()) {
-				choice.get().server().recordRequestSent(LATER);
-				sent++;
-			}
-		}
+		int sent = sendRequests(placement, 100, LATER);
+		assertTrue(sent > 0 && sent * 2 <= 8.1 * 1.5 + 5, "sent by one of two gateways: " + sent);
+	}
+
+	/**
+	 * Guards against a server that becomes cold and gets a whole second's bound in
+	 * addition to the requests that it has just received.
+	 */
+	@Test
+	public void requestsOfTheLastSecondCountTowardsTheBoundOfAServerThatBecameCold() {
+		Placement placement = placement("west", 1, 0);
+		assertEquals(sendRequests(placement, 20, LATER), 20);
+		placement.server("s", "west-0").orElseThrow().markCold(3_000, LATER + 1);
+		assertEquals(sendRequests(placement, 20, LATER + 1), 0);
+		assertTrue(sendRequests(placement, 20, LATER + TimeUnit.SECONDS.toNanos(1) + 1) > 0);
+	}
+
+	/**
+	 * Guards against a gateway without the store that sends at its full rate to a server
+	 * that has become cold.
+	 */
+	@Test
+	public void aServerThatMayHaveBecomeColdReceivesWhatAColdOneMayUntilItReportsToBeWarm() {
+		Placement placement = placement("west", 1, 0);
+		ServerState server = placement.server("s", "west-0").orElseThrow();
+		placement.setOutdatedServices(Set.of("other"));
+		assertEquals(sendRequests(placement, 20, LATER), 20);
+		long outdatedAt = LATER + TimeUnit.SECONDS.toNanos(2);
+		placement.setOutdatedServices(Set.of("s"));
+		assertFalse(placement.isNearColdBound(server, 8.1, 2, outdatedAt));
+		int sent = sendRequests(placement, 100, outdatedAt);
 		assertTrue(sent > 0 && sent * 2 <= 8.1 * 1.5 + 5, "sent by one of two gateways: " + sent);
+		assertTrue(placement.isNearColdBound(server, 8.1, 2, outdatedAt));
+		server.recordWarm(outdatedAt + 1);
+		assertEquals(sendRequests(placement, 100, outdatedAt + 2), sent);
+		server.recordWarm(outdatedAt);
+		assertEquals(sendRequests(placement, 100, outdatedAt + 3), 0);
+	}
+
+	@Test
+	public void aServerOfAnotherRegionThatMayHaveBecomeColdReceivesOneRequestUntilItReportsToBeWarm() {
+		Placement placement = placement("west", 0, 1);
+		placement.setOutdatedServices(Set.of("s"));
+		assertEquals(sendRequests(placement, 20, LATER), 1);
+		placement.server("s", "north-0").orElseThrow().recordWarm(LATER + 1);
+		assertEquals(sendRequests(placement, 20, LATER + 2), 1);
 	}
 
 	@Test
@@ -228,6 +265,18 @@
 		return placement;
 	}
 
+	private int sendRequests(Placement placement, int count, long now) {
+		int sent = 0;
+		for (int object = 0; object < count; object++) {
+			Optional<Placement.Choice> choice = placement.choose(request(object, Set.of(), Set.of()), now);
+			if (choice.isPresent()) {
+				choice.get().server().recordRequestSent(now);
+				sent++;
+			}
+		}
+		return sent;
+	}
+
 	private String chosen(Placement placement, int object, Set<String> allowedRegions) {
 		return placement.choose(request(object, allowedRegions, Set.of()), LATER).orElseThrow().server().entry().id();
 	}
