Return to a server gradually after its pause

Callers would have seen: requests turned away again by a server that had just asked for a pause, since all gateways sent it all that they held for it when the pause ended.

Cause: a pause ended at once. Nothing limited what followed it.

A gateway now has one request in flight at such a server at first, and twice as many after each response that was served, up to its slots or for 10 s. Requests that find no other server are refused at once as paused.

Evidence: the new test of ServerStateTests needs the new method.

--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -245,8 +245,8 @@
 	public Optional<Choice> choose(Request request, long now) {
 		this.overflowTokens = Math.min(MAXIMUM_OVERFLOW_TOKENS, this.overflowTokens + OVERFLOW_TOKENS_PER_REQUEST);
 		UsableServers servers = servers(request.service()).usableServers(
-				(server) -> isInService(server, now) && isAllowed(request, server), (server) -> !server.isEjected(now),
-				1 - MAXIMUM_EJECTED_FRACTION);
+				(server) -> isInService(server, now) && !server.isReturnLimitReached(now) && isAllowed(request, server),
+				(server) -> !server.isEjected(now), 1 - MAXIMUM_EJECTED_FRACTION);
 		if (servers.isEmpty()) {
 			return Optional.empty();
 		}
@@ -279,17 +279,18 @@
 	}
 
 	/**
-	 * Returns how long it takes until a server that wants no requests at present may
-	 * receive this one.
+	 * Returns how long it takes until a server that wants no requests at present, or no
+	 * more after a pause, may receive this one.
 	 * @param request the request to place
 	 * @param now the current time in nanoseconds
-	 * @return the time in milliseconds, or empty if no server is pausing
+	 * @return the time in milliseconds, or empty if no server is pausing or returning
 	 */
 	public OptionalLong pauseMillis(Request request, long now) {
 		return servers(request.service()).all()
 			.stream()
 			.filter((server) -> !server.isLeaving(now) && isAllowed(request, server))
-			.mapToLong((server) -> server.pauseMillis(now))
+			.mapToLong((server) -> server.isReturnLimitReached(now) ? Math.max(1, server.pauseMillis(now))
+					: server.pauseMillis(now))
 			.filter((millis) -> millis > 0)
 			.min();
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -76,6 +76,11 @@
 	 */
 	private static final long MAXIMUM_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(5);
 
+	/**
+	 * How long after a pause the requests in flight to the server are limited.
+	 */
+	private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	private static final double FAILURE_WEIGHT = 0.15;
 
 	/**
@@ -143,6 +148,8 @@
 
 	private long pausedUntil;
 
+	private int returnLimit;
+
 	private int consecutiveFailures;
 
 	private double failureRatio;
@@ -191,6 +198,7 @@
 			this.ejected = false;
 			this.leaving = false;
 			this.paused = false;
+			this.returnLimit = 0;
 		}
 		this.entry = updated;
 		this.cold = false;
@@ -233,6 +241,7 @@
 		long until = now + Math.min(MAXIMUM_PAUSE_NANOS, TimeUnit.MILLISECONDS.toNanos(millis));
 		this.pausedUntil = known ? Math.max(this.pausedUntil, until) : until;
 		this.paused = true;
+		this.returnLimit = 1;
 		return !known;
 	}
 
@@ -260,6 +269,21 @@
 		return this.paused ? 1 + TimeUnit.NANOSECONDS.toMillis(this.pausedUntil - now) : 0;
 	}
 
+	/**
+	 * Returns whether the server returns from a pause and has as many requests in flight
+	 * as it may at present. The limit begins with one request and doubles with each
+	 * response, so that the server is not turned away again by a wave of requests from
+	 * all gateways.
+	 * @param now the current time in nanoseconds
+	 * @return whether the server may receive no further request until another one ended
+	 */
+	public boolean isReturnLimitReached(long now) {
+		if (this.returnLimit > 0 && now - this.pausedUntil > RETURN_NANOS) {
+			this.returnLimit = 0;
+		}
+		return this.returnLimit > 0 && this.inFlight >= this.returnLimit;
+	}
+
 	/**
 	 * Records that a request is sent to the server.
 	 * @param now the current time in nanoseconds
@@ -306,6 +330,9 @@
 		this.consecutiveFailures = 0;
 		this.failureRatio += FAILURE_WEIGHT * ((success ? 0 : 1) - this.failureRatio);
 		if (success) {
+			if (sentAt - this.pausedUntil >= 0) {
+				this.returnLimit = (2 * this.returnLimit <= this.entry.slots()) ? 2 * this.returnLimit : 0;
+			}
 			this.servedAt.put(object, now);
 			if (!this.ejected) {
 				this.ejections = 0;
--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -81,6 +81,12 @@
 
 	private final Outcomes boundOutcomes = new Outcomes();
 
+	private final Map<ServerState, Pause> pauses = new HashMap<>();
+
+	private long pauseMillis;
+
+	private int turnedAway;
+
 	LoadSimulation(long seed, List<RequestKind> kinds, Map<String, Integer> serversByRegion, int slots,
 			int gatewaysInRegion) {
 		this.random = new Random(seed);
@@ -209,6 +215,40 @@
 			.forEach((server) -> server.slowness = factor);
 	}
 
+	/**
+	 * Makes servers of a region turn every request away for a while, one after another.
+	 * @param region the name of the region
+	 * @param from the time at which the first server begins, in seconds
+	 * @param seconds how long each server does so
+	 * @param pauseMillis the time for which a server that turns a request away wants no
+	 * others
+	 */
+	void turnAwayInTurn(String region, double from, double seconds, long pauseMillis) {
+		double at = from;
+		for (Server each : this.servers.stream().filter((server) -> server.region.equals(region)).toList()) {
+			schedule(at, (now) -> each.turnAwayUntil = now + seconds * 1_000);
+			at += seconds;
+		}
+		this.pauseMillis = pauseMillis;
+	}
+
+	/**
+	 * Returns the largest number of requests that a gateway sent to a server during a
+	 * pause that the server had asked for half a second before or earlier.
+	 * @return the number of requests
+	 */
+	int requestsDuringPause() {
+		return this.pauses.values().stream().mapToInt((pause) -> pause.requests).max().orElse(0);
+	}
+
+	/**
+	 * Returns the requests that servers turned away.
+	 * @return the number of requests
+	 */
+	int turnedAway() {
+		return this.turnedAway;
+	}
+
 	/**
 	 * Evacuates data centres or ends evacuations. A data centre consists of every second
 	 * server of a region.
@@ -513,6 +553,24 @@
 
 	}
 
+	/**
+	 * The last pause that a server asked a gateway for.
+	 */
+	private static final class Pause {
+
+		private final double askedAt;
+
+		private final double until;
+
+		private int requests;
+
+		private Pause(double askedAt, double until) {
+			this.askedAt = askedAt;
+			this.until = until;
+		}
+
+	}
+
 	private final class Server {
 
 		private final String service;
@@ -538,6 +596,8 @@
 
 		private double slowness = 1;
 
+		private double turnAwayUntil;
+
 		private Server(String service, String id, String region, int slots) {
 			this.service = service;
 			this.id = id;
@@ -555,7 +615,14 @@
 		}
 
 		private void receive(ServerRequest request, double now) {
-			if (this.running < this.slots) {
+			Pause pause = LoadSimulation.this.pauses.get(request.choice().server());
+			if (pause != null && now > pause.askedAt + 500 && now < pause.until) {
+				pause.requests++;
+			}
+			if (now < this.turnAwayUntil) {
+				turnAway(request, now);
+			}
+			else if (this.running < this.slots) {
 				process(request, now);
 			}
 			else if (this.queue.size() < this.slots * QUEUED_REQUESTS_PER_SLOT) {
@@ -566,6 +633,18 @@
 			}
 		}
 
+		private void turnAway(ServerRequest request, double now) {
+			LoadSimulation.this.turnedAway++;
+			double until = now + LoadSimulation.this.pauseMillis;
+			Pause previous = LoadSimulation.this.pauses.put(request.choice().server(), new Pause(now, until));
+			if (previous != null) {
+				LoadSimulation.this.pauses.get(request.choice().server()).requests = previous.requests;
+			}
+			LoadSimulation.this.events.add(new Event(now + request.latencyMillis(),
+					(later) -> request.choice().server().recordPause(LoadSimulation.this.pauseMillis, nanos(later))));
+			respond(request, now, false, false);
+		}
+
 		private void process(ServerRequest request, double now) {
 			this.running++;
 			LoadSimulation.this.shifts.recordRun(request.callerRequest().region(), request.callerRequest().object(),
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementUnderLoadTests.java
@@ -91,6 +91,22 @@
 		assertTrue(slowed.servedFraction() >= 0.9, slowed.toString());
 	}
 
+	/**
+	 * The servers of a region turn requests away, one after another, and want none for
+	 * two seconds. The others serve the requests, and nothing is sent during a pause.
+	 * @param seed the seed
+	 */
+	@Test(dataProvider = "seeds")
+	public void serversThatTurnRequestsAwayInTurnReceiveNoneDuringTheirPause(long seed) {
+		LoadSimulation simulation = simulation(seed);
+		simulation.turnAwayInTurn("east", 10, 1, 2_000);
+		simulation.run(30, (second) -> 0.7);
+		LoadSimulation.Outcomes outcomes = simulation.total(10, 30);
+		assertTrue(simulation.turnedAway() > 0);
+		assertTrue(simulation.requestsDuringPause() <= 2, "during a pause: " + simulation.requestsDuringPause());
+		assertTrue(outcomes.servedFraction() >= 0.9, outcomes + ", turned away " + simulation.turnedAway());
+	}
+
 	private static LoadSimulation simulation(long seed) {
 		return new LoadSimulation(seed, KINDS, REGIONS, 9, 2);
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServerStateTests.java
@@ -138,6 +138,28 @@
 		assertFalse(this.server.isCold(TimeUnit.SECONDS.toNanos(2)));
 	}
 
+	/**
+	 * Guards against a wave of requests from all gateways when a pause ends.
+	 */
+	@Test
+	public void afterAPauseTheRequestsInFlightAreLimitedAndDoubleWithEachResponse() {
+		long returnedAt = TimeUnit.SECONDS.toNanos(2);
+		this.server.recordRequestSent(0);
+		this.server.recordPause(2_000, 0);
+		this.server.recordResponse(1, true, 0, 1);
+		this.server.recordRequestEnded();
+		assertFalse(this.server.isReturnLimitReached(returnedAt));
+		this.server.recordRequestSent(returnedAt);
+		assertTrue(this.server.isReturnLimitReached(returnedAt));
+		this.server.recordRequestEnded();
+		this.server.recordResponse(1, true, returnedAt, returnedAt + 1);
+		this.server.recordRequestSent(returnedAt + 1);
+		assertFalse(this.server.isReturnLimitReached(returnedAt + 1));
+		this.server.recordRequestSent(returnedAt + 1);
+		assertTrue(this.server.isReturnLimitReached(returnedAt + 1));
+		assertFalse(this.server.isReturnLimitReached(TimeUnit.SECONDS.toNanos(13)));
+	}
+
 	private static RegisteredServer entry(long startedAt, long coldMillis) {
 		return new RegisteredServer("i-1", "s", InetSocketAddress.createUnresolved("10.0.0.1", 80), "a", 4, false,
 				coldMillis, startedAt, 1);
