Leave servers that receive no requests out of the health checks

Servers would have seen: checks for up to a second after their evacuation, or during a pause that they had asked for, from gateways without the store; and a check that is turned away with a time was not heeded.

Cause: whether a server is checked depended on its requests of the last second alone, and a response that does not tell whether the server is cold was dropped with its announcements. Found by reading the change.

A check now needs a server that may receive requests, and the announcements of each response that names the server count.

Evidence: the new test of PlacementTests failed without the condition and passes.

--- a/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.registry.RegisteredServer;
@@ -60,8 +61,8 @@
 	/**
 	 * Parses the head of a response to a health check.
 	 * @param response the response
-	 * @return the state of the server that responded, or empty if the response does not
-	 * tell it
+	 * @return the state of the server that responded, or empty if the response names no
+	 * server
 	 */
 	Optional<ServerHealth> health(HttpResponse response);
 
@@ -146,10 +147,10 @@
 	 * The state of a server as its response to a health check reports it.
 	 *
 	 * @param serverId the identifier of the server
-	 * @param coldMillis how long the server remains cold, in milliseconds, or zero if it
-	 * is not cold
+	 * @param coldMillis how long the server remains cold, in milliseconds, zero if it is
+	 * not cold, or empty if the response does not tell it
 	 */
-	record ServerHealth(String serverId, long coldMillis) {
+	record ServerHealth(String serverId, OptionalLong coldMillis) {
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -145,7 +145,7 @@
 				(lease, reason) -> events.record(Event.REGISTRATION_LOST, settings.host(), lease, reason));
 		this.freshness = new ViewFreshness(this.follower, this.registration, this.fleet);
 		this.healthChecks = new HealthChecks(this.gateway, this.freshness);
-		this.gateway.requestSentListener(this.healthChecks::requestSent);
+		this.gateway.requestSentListener(this.healthChecks::checkIfNeeded);
 		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower, this.freshness,
 				new Peer(settings.host(), this.incarnation));
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -58,16 +59,17 @@
 			.setOutdatedServices(this.freshness.areServersOutdated() ? this.services.keySet() : Set.of());
 		this.pending.values().removeIf((check) -> check.cancelIfOverdue(now));
 		if (!this.services.isEmpty()) {
-			this.gateway.placement().servers().forEach((server) -> requestSent(server, now));
+			this.gateway.placement().servers().forEach((server) -> checkIfNeeded(server, now));
 		}
 	}
 
 	/**
-	 * Checks a server if it may receive few further requests otherwise.
-	 * @param server the server to which a request was sent
+	 * Checks a server if it may receive few further requests otherwise and is not being
+	 * checked.
+	 * @param server the server
 	 * @param now the current time in nanoseconds
 	 */
-	void requestSent(ServerState server, long now) {
+	void checkIfNeeded(ServerState server, long now) {
 		ServicePlan service = this.services.get(server.entry().service());
 		if (service != null && !this.pending.containsKey(server) && this.gateway.placement()
 			.isNearColdBound(server, service.coldRequestsPerSecond(), this.gateway.gatewaysInRegion(), now)) {
@@ -131,23 +133,25 @@
 				.filter((each) -> each.serverId().equals(this.server.entry().id()));
 			health.ifPresent((each) -> HealthChecks.this.gateway.announcements()
 				.record(this.server, parsed, "-", System.nanoTime()));
-			HealthChecks.this.gateway.metrics().healthCheckFinished(health.map(this::record).orElse("unclear"));
+			OptionalLong coldMillis = health.map(Dialect.ServerHealth::coldMillis).orElseGet(OptionalLong::empty);
+			coldMillis.ifPresent(this::recordCold);
+			HealthChecks.this.gateway.metrics()
+				.healthCheckFinished(coldMillis.isEmpty() ? "unclear" : (coldMillis.getAsLong() > 0) ? "cold" : "warm");
 			return Disposition.COMPLETE;
 		}
 
-		private String record(Dialect.ServerHealth health) {
-			if (health.coldMillis() == 0) {
+		private void recordCold(long millis) {
+			if (millis == 0) {
 				this.server.recordWarm(this.startedAt);
-				return "warm";
+				return;
 			}
 			long now = System.nanoTime();
 			if (!this.server.isCold(now)) {
 				HealthChecks.this.gateway.events()
-					.record(Event.SERVER_FOUND_COLD, this.server.entry().id(), this.server.entry().service(),
-							health.coldMillis(), HealthChecks.this.freshness.storeAgeMillis());
+					.record(Event.SERVER_FOUND_COLD, this.server.entry().id(), this.server.entry().service(), millis,
+							HealthChecks.this.freshness.storeAgeMillis());
 			}
-			this.server.markCold(health.coldMillis(), now);
-			return "cold";
+			this.server.markCold(millis, now);
 		}
 
 		@Override
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -195,7 +195,8 @@
 
 	/**
 	 * Returns whether a server that may have become cold unnoticed soon receives no more
-	 * requests unless it reports that it is not cold.
+	 * requests unless it reports that it is not cold. Servers that are to receive no
+	 * requests are not asked either.
 	 * @param server the server
 	 * @param coldRequestsPerSecond the rate of requests that a cold server of the service
 	 * can handle
@@ -205,7 +206,7 @@
 	 */
 	public boolean isNearColdBound(ServerState server, double coldRequestsPerSecond, int gatewaysInRegion, long now) {
 		int sent = server.possiblyColdRequestsInLastSecond(now);
-		return sent > 0 && !server.isCold(now)
+		return sent > 0 && isInService(server, now) && !server.isCold(now)
 				&& 2 * sent >= possiblyColdAllowance(server, coldRequestsPerSecond, gatewaysInRegion);
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -159,6 +159,25 @@
 		assertEquals(sendRequests(placement, 100, outdatedAt + 3), 0);
 	}
 
+	/**
+	 * Guards against health checks of servers that want no requests or may get none.
+	 */
+	@Test
+	public void aServerThatReceivesNoRequestsIsNotAskedWhetherItIsWarm() {
+		Placement placement = placement("west", 3, 0);
+		placement.setOutdatedServices(Set.of("s"));
+		sendRequests(placement, 100, LATER);
+		List<ServerState> servers = placement.servers();
+		servers.forEach((server) -> assertTrue(placement.isNearColdBound(server, 8.1, 2, LATER)));
+		servers.get(0).recordPause(1_000, LATER);
+		servers.get(1).recordLeaving(LATER);
+		servers.get(2).markCold(1_000, LATER);
+		servers.forEach((server) -> assertFalse(placement.isNearColdBound(server, 8.1, 2, LATER)));
+		placement.setEvacuatedDataCentres(Set.of("west"));
+		long afterwards = LATER + TimeUnit.MILLISECONDS.toNanos(1_000);
+		servers.forEach((server) -> assertFalse(placement.isNearColdBound(server, 8.1, 2, afterwards)));
+	}
+
 	@Test
 	public void aServerOfAnotherRegionThatMayHaveBecomeColdReceivesOneRequestUntilItReportsToBeWarm() {
 		Placement placement = placement("west", 0, 1);
