--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -233,8 +233,8 @@
 	}
 
 	/**
-	 * Returns the largest number of requests that a gateway sent to a server during a
-	 * pause that the server had asked for half a second before or earlier.
+	 * Returns the largest number of requests that a gateway sent to a server during all
+	 * pauses that the server had asked for half a second before or earlier.
 	 * @return the number of requests
 	 */
 	int requestsDuringPause() {
@@ -554,7 +554,8 @@
 	}
 
 	/**
-	 * The last pause that a server asked a gateway for.
+	 * The last pause that a server asked a gateway for, with the requests during all of
+	 * its pauses.
 	 */
 	private static final class Pause {
 
@@ -564,9 +565,10 @@
 
 		private int requests;
 
-		private Pause(double askedAt, double until) {
+		private Pause(double askedAt, double until, int requests) {
 			this.askedAt = askedAt;
 			this.until = until;
+			this.requests = requests;
 		}
 
 	}
@@ -635,11 +637,8 @@
 
 		private void turnAway(ServerRequest request, double now) {
 			LoadSimulation.this.turnedAway++;
-			double until = now + LoadSimulation.this.pauseMillis;
-			Pause previous = LoadSimulation.this.pauses.put(request.choice().server(), new Pause(now, until));
-			if (previous != null) {
-				LoadSimulation.this.pauses.get(request.choice().server()).requests = previous.requests;
-			}
+			LoadSimulation.this.pauses.compute(request.choice().server(), (server, previous) -> new Pause(now,
+					now + LoadSimulation.this.pauseMillis, (previous != null) ? previous.requests : 0));
 			LoadSimulation.this.events.add(new Event(now + request.latencyMillis(),
 					(later) -> request.choice().server().recordPause(LoadSimulation.this.pauseMillis, nanos(later))));
 			respond(request, now, false, false);
