Log how requests end in a planned stop and by whose doing connections do

Now 6204 is written for each served request from SIGTERM on, 6205 tells who ended the connection, and 6207 names a response that the gateway had not written when it ended the connection. No logic changes: what is closed, and when, is as before. CallerHandlerTests, DecisionLogTests and EventTests pass.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -194,9 +194,9 @@
 			"request={} status={} route={} server={} attempts={} age_ms={} expected_ms={} warm={} plan={}"),
 
 	/**
-	 * The caller of a request disconnected before the request ended.
+	 * The connection of a request's caller ended before the request did.
 	 */
-	REQUEST_ABANDONED(6205, Severity.INFORMATION, "request={} route={} server={} cancelled={} age_ms={}"),
+	REQUEST_ABANDONED(6205, Severity.INFORMATION, "request={} reason={} route={} server={} cancelled={} age_ms={}"),
 
 	/**
 	 * A request was refused because its organisation exceeded its rate.
@@ -204,6 +204,12 @@
 	RATE_EXCEEDED(6206, Severity.INFORMATION,
 			"request={} organisation={} route={} rate={} {} heard={} members={} return_ms={} plan={}"),
 
+	/**
+	 * The gateway ended the connection of a caller to which it had not written the whole
+	 * response.
+	 */
+	RESPONSE_CUT(6207, Severity.WARNING, "request={} reason={} route={} age_ms={}"),
+
 	/**
 	 * Log lines were dropped.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -1,5 +1,6 @@
 package io.masticlane.gateway;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -13,7 +14,6 @@
 import io.masticlane.failure.ErrorKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -60,6 +60,8 @@
 
 	private boolean closing;
 
+	private Disconnection disconnection = Disconnection.CALLER;
+
 	/**
 	 * Creates a handler.
 	 * @param processor starts the processing of each request
@@ -88,7 +90,7 @@
 			begin(message);
 		}
 		else if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-			read.close();
+			close(Disconnection.PIPELINING);
 		}
 		else {
 			this.pipelined.add(ReferenceCountUtil.retain(message));
@@ -101,13 +103,13 @@
 		if (this.current != null) {
 			Processing disconnected = this.current;
 			this.current = null;
-			disconnected.callerDisconnected();
+			disconnected.callerDisconnected(this.disconnection);
 		}
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
-		caught.close();
+		close((cause instanceof IOException) ? Disconnection.CALLER : Disconnection.EXCEPTION);
 	}
 
 	/**
@@ -152,10 +154,17 @@
 	 */
 	void closeIfIdle() {
 		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
-			this.context.close();
+			close(Disconnection.IDLE);
 		}
 	}
 
+	/**
+	 * Closes the connection since the caller exceeded a timeout.
+	 */
+	void closeTimedOut() {
+		close(Disconnection.TIMEOUT);
+	}
+
 	/**
 	 * Ends the request in flight, if there is one, since the process ends.
 	 */
@@ -215,7 +224,13 @@
 		processing.start();
 	}
 
+	private void close(Disconnection reason) {
+		this.disconnection = reason;
+		this.context.close();
+	}
+
 	private void finish(FullHttpResponse response) {
+		Processing answered = this.current;
 		this.current = null;
 		this.timeouts.responseSent();
 		boolean close = !this.keepAlive || this.leaving.getAsBoolean() && this.pipelined.isEmpty();
@@ -223,8 +238,14 @@
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
 		this.closing |= close;
-		this.context.writeAndFlush(response)
-			.addListener(close ? ChannelFutureListener.CLOSE : ChannelFutureListener.CLOSE_ON_FAILURE);
+		this.context.writeAndFlush(response).addListener((written) -> {
+			if (!written.isSuccess() && answered != null && this.disconnection != Disconnection.CALLER) {
+				answered.responseCut(this.disconnection);
+			}
+			if (close || !written.isSuccess()) {
+				this.context.close();
+			}
+		});
 		if (this.closing) {
 			discardPipelined();
 		}
@@ -260,6 +281,38 @@
 
 	}
 
+	/**
+	 * Why a caller's connection ended.
+	 */
+	enum Disconnection {
+
+		/**
+		 * The caller closed or reset it.
+		 */
+		CALLER,
+
+		/**
+		 * The gateway closed it as idle.
+		 */
+		IDLE,
+
+		/**
+		 * The caller exceeded a timeout.
+		 */
+		TIMEOUT,
+
+		/**
+		 * The caller sent too many requests without waiting for a response.
+		 */
+		PIPELINING,
+
+		/**
+		 * A message could not be processed.
+		 */
+		EXCEPTION
+
+	}
+
 	/**
 	 * The processing of one request.
 	 */
@@ -272,8 +325,16 @@
 
 		/**
 		 * Handles the loss of the caller's connection.
+		 * @param reason why the connection ended
+		 */
+		void callerDisconnected(Disconnection reason);
+
+		/**
+		 * Handles the end of the caller's connection while the response was being
+		 * written.
+		 * @param reason why the connection ended
 		 */
-		void callerDisconnected();
+		void responseCut(Disconnection reason);
 
 		/**
 		 * Ends the processing with a response, since the process ends.
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -125,8 +125,13 @@
 		return this.fleet.regionSize(this.region);
 	}
 
+	/**
+	 * Returns whether a served request is logged: a sample, or each one during a planned
+	 * stop, when a connection may end without its caller's doing.
+	 * @return whether the request is logged
+	 */
 	boolean sampleServed() {
-		return this.served++ % LOG_SAMPLING_INTERVAL == 0;
+		return this.served++ % LOG_SAMPLING_INTERVAL == 0 || isLeaving();
 	}
 
 	void requestStarted() {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -277,7 +277,7 @@
 		CallerLimits limits = this.gateway.plan().limits();
 		this.callers.forEach((channel) -> {
 			if (channel.attr(TIMEOUTS).get().isTimedOut(limits, now)) {
-				channel.close();
+				channel.pipeline().get(CallerHandler.class).closeTimedOut();
 			}
 		});
 		if (this.callers.size() > this.currentSettings.maximumDescriptors() / CONNECTIONS_PER_REQUEST) {
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -203,7 +203,12 @@
 	}
 
 	@Override
-	public void callerDisconnected() {
+	public void responseCut(CallerHandler.Disconnection reason) {
+		this.events.responseCut(reason);
+	}
+
+	@Override
+	public void callerDisconnected(CallerHandler.Disconnection reason) {
 		if (this.finished) {
 			return;
 		}
@@ -214,7 +219,7 @@
 		}
 		boolean cancellable = this.route == null || this.route.idempotent() || !this.attemptOpen
 				|| !this.call.isWritten();
-		this.events.abandoned(serverName(), cancellable);
+		this.events.abandoned(reason, serverName(), cancellable);
 		finish("abandoned");
 		if (!cancellable) {
 			this.gateway.loop()
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -56,8 +56,12 @@
 				this.planVersion);
 	}
 
-	void abandoned(String server, boolean cancelled) {
-		this.log.record(Event.REQUEST_ABANDONED, this.id, this.route, server, cancelled, ageMillis());
+	void abandoned(CallerHandler.Disconnection reason, String server, boolean cancelled) {
+		this.log.record(Event.REQUEST_ABANDONED, this.id, reason, this.route, server, cancelled, ageMillis());
+	}
+
+	void responseCut(CallerHandler.Disconnection reason) {
+		this.log.record(Event.RESPONSE_CUT, this.id, reason, this.route, ageMillis());
 	}
 
 	void attemptFailed(ServerState server, int attempts, String failure, String detail) {
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -1,5 +1,6 @@
 package io.masticlane.gateway;
 
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,6 +37,8 @@
 
 	private List<String> started;
 
+	private List<String> cut;
+
 	private Map<String, CallerHandler> waiting;
 
 	private CallerHandler handler;
@@ -47,6 +50,7 @@
 	@BeforeMethod
 	public void start() {
 		this.started = new ArrayList<>();
+		this.cut = new ArrayList<>();
 		this.waiting = new HashMap<>();
 		ReadTimeoutTracker timeouts = new ReadTimeoutTracker();
 		this.leaving = false;
@@ -140,6 +144,22 @@
 		assertFalse(this.channel.isOpen());
 	}
 
+	@Test
+	public void aResponseThatWasNotWrittenWhenTheGatewayClosedTheConnectionIsReported() {
+		List<ChannelPromise> writes = new ArrayList<>();
+		this.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+			@Override
+			public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+				writes.add(promise);
+			}
+		});
+		this.channel.writeInbound(request("/a"));
+		respond("/a");
+		this.handler.closeTimedOut();
+		writes.get(0).setFailure(new ClosedChannelException());
+		assertEquals(this.cut, List.of("/a TIMEOUT"));
+	}
+
 	private CallerHandler.Processing process(CallerHandler caller, FullHttpRequest request) {
 		String uri = request.uri();
 		return new CallerHandler.Processing() {
@@ -151,10 +171,15 @@
 			}
 
 			@Override
-			public void callerDisconnected() {
+			public void callerDisconnected(CallerHandler.Disconnection reason) {
 				CallerHandlerTests.this.waiting.remove(uri);
 			}
 
+			@Override
+			public void responseCut(CallerHandler.Disconnection reason) {
+				CallerHandlerTests.this.cut.add(uri + " " + reason);
+			}
+
 			@Override
 			public void gatewayEnds() {
 				respond(uri);
--- a/masticlane/src/test/java/io/masticlane/gateway/DecisionLogTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/DecisionLogTests.java
@@ -52,7 +52,7 @@
 
 	@Test
 	public void aLineHasAFieldForEveryArgument() {
-		String line = DecisionLog.line(Event.REQUEST_ABANDONED, "r-1", "route", "i 1", true, 5);
+		String line = DecisionLog.line(Event.REQUEST_ABANDONED, "r-1", "CALLER", "route", "i 1", true, 5);
 		assertTrue(line.contains("event=6205 name=REQUEST_ABANDONED request=r-1"), line);
 		assertTrue(line.contains("server=\"i 1\" cancelled=true age_ms=5"), line);
 		assertEquals(line.indexOf('\n'), -1);
@@ -60,7 +60,8 @@
 
 	@Test
 	public void aValueCannotInjectALine() {
-		assertEquals(DecisionLog.line(Event.REQUEST_ABANDONED, "r-1\nevent=1", "a", "b", true, 5).lines().count(), 1);
+		String line = DecisionLog.line(Event.REQUEST_ABANDONED, "r-1\nevent=1", "CALLER", "a", "b", true, 5);
+		assertEquals(line.lines().count(), 1);
 	}
 
 	private static void refuse(DecisionLog log, String request) {
