Let callers receive the responses on a connection before it is closed

What callers saw: a reset or a short body in place of a response that a server had made and the gateway had sent, above all around a planned stop, when each response ends its connection.

Cause: a connection was closed as soon as its last response was handed to the kernel (CLOSE after the write), or as idle while the response was still being written. Bytes of the caller that arrive after a close reset the connection, and both kernels drop what the caller has not read; closing a channel drops what it has not written.

LingeringClose ends the output after the last write, discards input, and closes the connection once the caller has, after 5 s at the latest (RFC 9112, section 9.6). All ends of a connection with a response use it: callers of the gateway (planned stop, idle, timeout, Connection: close, refused bodies, malformed requests), the directory, and callers of the entry host. A stopping process waits for these connections, 0.24 s longer than before at most. 6208 names a response whose connection the caller did not close.

--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -9,7 +9,6 @@
 import io.masticlane.failure.Refusal;
 import io.masticlane.route.RoutingTable;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -75,8 +74,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.pipelined.forEach(ReferenceCountUtil::release);
-		this.pipelined.clear();
+		discardPipelined();
 		if (this.current != null) {
 			this.current.callerDisconnected();
 		}
@@ -111,7 +109,14 @@
 
 	private void closeAfterFlush(ChannelHandlerContext context) {
 		this.closing = true;
-		context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		discardPipelined();
+		LingeringClose.after(context.writeAndFlush(Unpooled.EMPTY_BUFFER), (outcome) -> {
+		});
+	}
+
+	private void discardPipelined() {
+		this.pipelined.forEach(ReferenceCountUtil::release);
+		this.pipelined.clear();
 	}
 
 	private void enqueue(ChannelHandlerContext context, Object request) {
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -210,6 +210,11 @@
 	 */
 	RESPONSE_CUT(6207, Severity.WARNING, "request={} reason={} route={} age_ms={}"),
 
+	/**
+	 * The gateway ended a connection after a response, and the caller did not close it.
+	 */
+	RESPONSE_UNCONFIRMED(6208, Severity.INFORMATION, "request={} reason={} route={} age_ms={}"),
+
 	/**
 	 * Log lines were dropped.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -10,10 +10,12 @@
 import java.util.function.BooleanSupplier;
 
 import io.masticlane.caller.Headers;
+import io.masticlane.caller.LingeringClose;
 import io.masticlane.caller.RefusedRequest;
 import io.masticlane.failure.ErrorKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -60,6 +62,10 @@
 
 	private boolean closing;
 
+	private ChannelFuture lastWrite;
+
+	private Processing lastAnswered;
+
 	private Disconnection disconnection = Disconnection.CALLER;
 
 	/**
@@ -77,12 +83,13 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
+		this.lastWrite = added.newSucceededFuture();
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
 		if (this.closing) {
-			// The caller was told that the connection ends with the previous response.
+			// The connection ends with an earlier response.
 			return;
 		}
 		this.timeouts.requestReceived();
@@ -154,7 +161,7 @@
 	 */
 	void closeIfIdle() {
 		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
-			close(Disconnection.IDLE);
+			closeGracefully();
 		}
 	}
 
@@ -162,7 +169,25 @@
 	 * Closes the connection since the caller exceeded a timeout.
 	 */
 	void closeTimedOut() {
-		close(Disconnection.TIMEOUT);
+		if (this.lastWrite.isDone()) {
+			closeGracefully();
+		}
+		else {
+			close(Disconnection.TIMEOUT);
+		}
+	}
+
+	/**
+	 * Reports the last response if the caller may not have received it by the end of the
+	 * process.
+	 */
+	void processEnds() {
+		if (!this.lastWrite.isDone()) {
+			close(Disconnection.PROCESS_END);
+		}
+		else if (this.closing) {
+			reportUnconfirmed(Disconnection.PROCESS_END);
+		}
 	}
 
 	/**
@@ -231,29 +256,57 @@
 
 	private void finish(FullHttpResponse response) {
 		Processing answered = this.current;
+		this.lastAnswered = answered;
 		this.current = null;
 		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.leaving.getAsBoolean() && this.pipelined.isEmpty();
+		boolean close = !this.keepAlive || this.pipelined.isEmpty() && this.leaving.getAsBoolean();
 		if (close) {
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
-		this.closing |= close;
-		this.context.writeAndFlush(response).addListener((written) -> {
-			if (!written.isSuccess() && answered != null && this.disconnection != Disconnection.CALLER) {
-				answered.responseCut(this.disconnection);
-			}
-			if (close || !written.isSuccess()) {
+		this.lastWrite = this.context.writeAndFlush(response).addListener((written) -> {
+			if (!written.isSuccess()) {
+				reportCut(answered);
 				this.context.close();
 			}
 		});
-		if (this.closing) {
-			discardPipelined();
+		if (close) {
+			closeGracefully();
 		}
 		else if (!this.pipelined.isEmpty()) {
 			this.context.executor().execute(this::beginNext);
 		}
 	}
 
+	private void closeGracefully() {
+		if (!this.closing) {
+			this.closing = true;
+			discardPipelined();
+			LingeringClose.after(this.lastWrite, this::connectionClosed);
+		}
+	}
+
+	private void connectionClosed(LingeringClose.Outcome outcome) {
+		if (outcome == LingeringClose.Outcome.RESET) {
+			reportUnconfirmed(Disconnection.CALLER);
+		}
+		else if (outcome == LingeringClose.Outcome.TIMED_OUT) {
+			reportUnconfirmed(Disconnection.TIMEOUT);
+		}
+	}
+
+	private void reportCut(Processing answered) {
+		if (answered != null && this.disconnection != Disconnection.CALLER) {
+			answered.responseCut(this.disconnection);
+		}
+	}
+
+	private void reportUnconfirmed(Disconnection reason) {
+		if (this.lastAnswered != null) {
+			this.lastAnswered.responseUnconfirmed(reason);
+			this.lastAnswered = null;
+		}
+	}
+
 	private void setContentLength(FullHttpResponse response) {
 		if (!this.headRequest) {
 			HttpUtil.setContentLength(response, response.content().readableBytes());
@@ -291,25 +344,25 @@
 		 */
 		CALLER,
 
-		/**
-		 * The gateway closed it as idle.
-		 */
-		IDLE,
-
 		/**
 		 * The caller exceeded a timeout.
 		 */
 		TIMEOUT,
 
 		/**
-		 * The caller sent too many requests without waiting for a response.
+		 * The process ended.
 		 */
-		PIPELINING,
+		PROCESS_END,
 
 		/**
 		 * A message could not be processed.
 		 */
-		EXCEPTION
+		EXCEPTION,
+
+		/**
+		 * The caller sent too many requests without waiting for a response.
+		 */
+		PIPELINING
 
 	}
 
@@ -336,6 +389,13 @@
 		 */
 		void responseCut(Disconnection reason);
 
+		/**
+		 * Handles the end of a connection that the gateway closed after the response, and
+		 * the caller did not.
+		 * @param reason why the connection ended
+		 */
+		void responseUnconfirmed(Disconnection reason);
+
 		/**
 		 * Ends the processing with a response, since the process ends.
 		 */
--- a/masticlane/src/main/java/io/masticlane/gateway/DirectoryHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/DirectoryHandler.java
@@ -3,7 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
+import io.masticlane.caller.LingeringClose;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -26,6 +28,8 @@
 
 	private final Endpoints endpoints;
 
+	private boolean closing;
+
 	DirectoryHandler(Dialect dialect, Endpoints endpoints) {
 		this.dialect = dialect;
 		this.endpoints = endpoints;
@@ -33,14 +37,21 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+		if (this.closing) {
+			return;
+		}
 		boolean keepAlive = request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request);
 		FullHttpResponse response = response(request);
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		if (!keepAlive) {
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
-		context.writeAndFlush(response)
-			.addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+		ChannelFuture written = context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+		if (!keepAlive) {
+			this.closing = true;
+			LingeringClose.after(written, (outcome) -> {
+			});
+		}
 	}
 
 	@Override
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -12,6 +12,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
@@ -281,7 +282,7 @@
 			}
 		});
 		if (this.callers.size() > this.currentSettings.maximumDescriptors() / CONNECTIONS_PER_REQUEST) {
-			this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
+			forEachCaller(CallerHandler::closeIfIdle);
 		}
 		this.gateway.connections().closeExpired();
 		this.gateway.metrics().messageMemory(this.gateway.memory().usedBytes(), this.gateway.memory().limitBytes());
@@ -311,7 +312,7 @@
 	 */
 	private void stopWhenDrained(StopSchedule schedule) {
 		this.listeners.forEach(Channel::close);
-		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).closeIfIdle());
+		forEachCaller(CallerHandler::closeIfIdle);
 		long now = System.nanoTime();
 		long remainingMillis = schedule.remainingMillis(now);
 		if (!this.callers.isEmpty() && remainingMillis > 0) {
@@ -323,8 +324,28 @@
 		this.registration.stop();
 		this.events.record(Event.GATEWAY_STOPPED, this.settings.host(), this.gateway.inFlight(),
 				schedule.elapsedMillis(now));
-		this.callers.forEach((channel) -> channel.pipeline().get(CallerHandler.class).endInFlight());
-		this.loop.schedule(this.terminated::countDown, GatewayTimes.FINAL_WRITES_MILLIS, TimeUnit.MILLISECONDS);
+		forEachCaller(CallerHandler::endInFlight);
+		this.loop.schedule(() -> terminateWhenAnswered(schedule), GatewayTimes.FINAL_WRITES_MILLIS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Ends the process when callers have closed the connections of the last responses, or
+	 * when its time is over. What they have not read by then may be lost.
+	 * @param schedule the schedule of the stop
+	 */
+	private void terminateWhenAnswered(StopSchedule schedule) {
+		if (!this.callers.isEmpty() && schedule.endsLater(System.nanoTime())) {
+			this.loop.schedule(() -> terminateWhenAnswered(schedule), GatewayTimes.FINAL_POLL_MILLIS,
+					TimeUnit.MILLISECONDS);
+			return;
+		}
+		forEachCaller(CallerHandler::processEnds);
+		this.terminated.countDown();
+	}
+
+	private void forEachCaller(Consumer<CallerHandler> action) {
+		this.callers.forEach((channel) -> action.accept(channel.pipeline().get(CallerHandler.class)));
 	}
 
 	private void scheduleEvery(long millis, Runnable task) {
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -100,6 +100,12 @@
 	 */
 	static final long FINAL_WRITES_MILLIS = 120;
 
+	/**
+	 * The interval at which a stopping process checks whether callers have received its
+	 * last responses.
+	 */
+	static final long FINAL_POLL_MILLIS = 20;
+
 	private GatewayTimes() {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -207,6 +207,11 @@
 		this.events.responseCut(reason);
 	}
 
+	@Override
+	public void responseUnconfirmed(CallerHandler.Disconnection reason) {
+		this.events.responseUnconfirmed(reason);
+	}
+
 	@Override
 	public void callerDisconnected(CallerHandler.Disconnection reason) {
 		if (this.finished) {
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -64,6 +64,10 @@
 		this.log.record(Event.RESPONSE_CUT, this.id, reason, this.route, ageMillis());
 	}
 
+	void responseUnconfirmed(CallerHandler.Disconnection reason) {
+		this.log.record(Event.RESPONSE_UNCONFIRMED, this.id, reason, this.route, ageMillis());
+	}
+
 	void attemptFailed(ServerState server, int attempts, String failure, String detail) {
 		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(), detail);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/StopSchedule.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StopSchedule.java
@@ -24,6 +24,12 @@
 	 */
 	private static final long MAXIMUM_END_MARGIN_MILLIS = 600;
 
+	/**
+	 * The fraction of the time for the end that callers have to receive the last
+	 * responses. The rest is for the end of the process itself.
+	 */
+	private static final double FINAL_WAIT_FRACTION = 0.4;
+
 	/**
 	 * The fraction of the time for serving after which no more connections are accepted
 	 * and idle ones are closed. The rest is for requests in flight.
@@ -71,6 +77,16 @@
 		return servingMillis() - elapsedMillis(now);
 	}
 
+	/**
+	 * Returns whether the process may still wait for its callers to receive the last
+	 * responses.
+	 * @param now the current time in nanoseconds
+	 * @return whether the process ends later
+	 */
+	boolean endsLater(long now) {
+		return elapsedMillis(now) < servingMillis() + (long) (FINAL_WAIT_FRACTION * endMarginMillis());
+	}
+
 	/**
 	 * Returns the time since SIGTERM.
 	 * @param now the current time in nanoseconds
@@ -99,7 +115,11 @@
 	}
 
 	private long servingMillis() {
-		return this.graceMillis - Math.min(MAXIMUM_END_MARGIN_MILLIS, (long) (this.graceMillis * END_MARGIN_FRACTION));
+		return this.graceMillis - endMarginMillis();
+	}
+
+	private long endMarginMillis() {
+		return Math.min(MAXIMUM_END_MARGIN_MILLIS, (long) (this.graceMillis * END_MARGIN_FRACTION));
 	}
 
 }
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -180,6 +180,11 @@
 				CallerHandlerTests.this.cut.add(uri + " " + reason);
 			}
 
+			@Override
+			public void responseUnconfirmed(CallerHandler.Disconnection reason) {
+				CallerHandlerTests.this.cut.add(uri + " unconfirmed " + reason);
+			}
+
 			@Override
 			public void gatewayEnds() {
 				respond(uri);
