Answer the requests that are in flight when too many are pipelined

What callers saw: a connection that is closed without a response to any request on it, though servers ran some, when more than 16 requests waited behind the one in flight.

Cause: the connection was closed at once when the limit was exceeded.

--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -23,6 +23,10 @@
  */
 final class RequestHandler extends ChannelInboundHandlerAdapter {
 
+	/**
+	 * The limit of pipelined requests that wait on a connection. Those beyond it are not
+	 * run, and the connection is closed after the responses to the others.
+	 */
 	private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
 
 	private static final String LOOK_UP_PATH = "/v1/entry-hosts";
@@ -33,6 +37,8 @@
 
 	private final Deque<Object> pipelined = new ArrayDeque<>();
 
+	private boolean overfull;
+
 	private boolean closing;
 
 	private Exchange current;
@@ -44,13 +50,13 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		if (this.closing) {
+		if (this.closing || this.overfull) {
 			ReferenceCountUtil.release(message);
 			return;
 		}
 		Object next = refuseIfMalformed(message);
 		if (this.current != null) {
-			enqueue(context, next);
+			enqueue(next);
 		}
 		else {
 			serve(context, next);
@@ -105,6 +111,9 @@
 		if (next != null) {
 			serve(context, next);
 		}
+		else if (this.overfull) {
+			closeAfterFlush(context);
+		}
 	}
 
 	private void closeAfterFlush(ChannelHandlerContext context) {
@@ -119,13 +128,13 @@
 		this.pipelined.clear();
 	}
 
-	private void enqueue(ChannelHandlerContext context, Object request) {
+	private void enqueue(Object request) {
 		if (this.pipelined.size() < MAXIMUM_PIPELINED_REQUESTS) {
 			this.pipelined.addLast(request);
 		}
 		else {
 			ReferenceCountUtil.release(request);
-			context.close();
+			this.overfull = true;
 		}
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -35,8 +35,8 @@
 final class CallerHandler extends SimpleChannelInboundHandler<Object> {
 
 	/**
-	 * The limit of pipelined requests that wait on a connection; the connection is closed
-	 * when it is exceeded.
+	 * The limit of pipelined requests that wait on a connection. Those beyond it are not
+	 * run, and the connection is closed after the responses to the others.
 	 */
 	private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
 
@@ -60,6 +60,8 @@
 
 	private boolean headRequest;
 
+	private boolean overfull;
+
 	private boolean closing;
 
 	private ChannelFuture lastWrite;
@@ -88,7 +90,7 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
-		if (this.closing) {
+		if (this.closing || this.overfull) {
 			// The connection ends with an earlier response.
 			return;
 		}
@@ -97,7 +99,7 @@
 			begin(message);
 		}
 		else if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-			close(Disconnection.PIPELINING);
+			this.overfull = true;
 		}
 		else {
 			this.pipelined.add(ReferenceCountUtil.retain(message));
@@ -259,7 +261,7 @@
 		this.lastAnswered = answered;
 		this.current = null;
 		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.pipelined.isEmpty() && this.leaving.getAsBoolean();
+		boolean close = !this.keepAlive || this.pipelined.isEmpty() && (this.overfull || this.leaving.getAsBoolean());
 		if (close) {
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
@@ -357,12 +359,7 @@
 		/**
 		 * A message could not be processed.
 		 */
-		EXCEPTION,
-
-		/**
-		 * The caller sent too many requests without waiting for a response.
-		 */
-		PIPELINING
+		EXCEPTION
 
 	}
 
