Keep a request only until its last response is known to have arrived

The handler of a caller's connection kept the request that it had answered last, for each connection and until the next request, so as to report a response that was not confirmed. Only a response after which the connection ends is reported, so only that one is kept. CallerHandlerTests (one test more, of the end of the process) and ConnectionEndTests pass.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -66,7 +66,11 @@
 
 	private ChannelFuture lastWrite;
 
-	private Processing lastAnswered;
+	/**
+	 * The processing of the response after which the connection ends, until it is known
+	 * whether the caller received it.
+	 */
+	private Processing unconfirmed;
 
 	private Disconnection disconnection = Disconnection.CALLER;
 
@@ -163,7 +167,7 @@
 	 */
 	void closeIfIdle() {
 		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
-			closeGracefully();
+			closeAfterLastWrite();
 		}
 	}
 
@@ -172,7 +176,7 @@
 	 */
 	void closeTimedOut() {
 		if (this.lastWrite.isDone()) {
-			closeGracefully();
+			closeAfterLastWrite();
 		}
 		else {
 			close(Disconnection.TIMEOUT);
@@ -187,7 +191,7 @@
 		if (!this.lastWrite.isDone()) {
 			close(Disconnection.PROCESS_END);
 		}
-		else if (this.closing) {
+		else {
 			reportUnconfirmed(Disconnection.PROCESS_END);
 		}
 	}
@@ -258,7 +262,6 @@
 
 	private void finish(FullHttpResponse response) {
 		Processing answered = this.current;
-		this.lastAnswered = answered;
 		this.current = null;
 		this.timeouts.responseSent();
 		boolean close = !this.keepAlive || this.pipelined.isEmpty() && (this.overfull || this.leaving.getAsBoolean());
@@ -272,14 +275,15 @@
 			}
 		});
 		if (close) {
-			closeGracefully();
+			this.unconfirmed = answered;
+			closeAfterLastWrite();
 		}
 		else if (!this.pipelined.isEmpty()) {
 			this.context.executor().execute(this::beginNext);
 		}
 	}
 
-	private void closeGracefully() {
+	private void closeAfterLastWrite() {
 		if (!this.closing) {
 			this.closing = true;
 			discardPipelined();
@@ -303,9 +307,9 @@
 	}
 
 	private void reportUnconfirmed(Disconnection reason) {
-		if (this.lastAnswered != null) {
-			this.lastAnswered.responseUnconfirmed(reason);
-			this.lastAnswered = null;
+		if (this.unconfirmed != null) {
+			this.unconfirmed.responseUnconfirmed(reason);
+			this.unconfirmed = null;
 		}
 	}
 
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -128,13 +128,7 @@
 	 */
 	@Test
 	public void aRequestThatFollowsTheLastResponseIsNotStarted() {
-		List<ChannelPromise> writes = new ArrayList<>();
-		this.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
-			@Override
-			public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-				writes.add(promise);
-			}
-		});
+		List<ChannelPromise> writes = withholdWrites();
 		this.channel.writeInbound(request("/a"));
 		this.leaving = true;
 		respond("/a");
@@ -146,6 +140,26 @@
 
 	@Test
 	public void aResponseThatWasNotWrittenWhenTheGatewayClosedTheConnectionIsReported() {
+		List<ChannelPromise> writes = withholdWrites();
+		this.channel.writeInbound(request("/a"));
+		respond("/a");
+		this.handler.closeTimedOut();
+		writes.get(0).setFailure(new ClosedChannelException());
+		assertEquals(this.cut, List.of("/a TIMEOUT"));
+	}
+
+	@Test
+	public void theLastResponseIsReportedIfItsConnectionIsOpenWhenTheProcessEnds() {
+		List<ChannelPromise> writes = withholdWrites();
+		this.leaving = true;
+		this.channel.writeInbound(request("/a"));
+		respond("/a");
+		this.handler.processEnds();
+		writes.get(0).setFailure(new ClosedChannelException());
+		assertEquals(this.cut, List.of("/a PROCESS_END"));
+	}
+
+	private List<ChannelPromise> withholdWrites() {
 		List<ChannelPromise> writes = new ArrayList<>();
 		this.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
 			@Override
@@ -153,11 +167,7 @@
 				writes.add(promise);
 			}
 		});
-		this.channel.writeInbound(request("/a"));
-		respond("/a");
-		this.handler.closeTimedOut();
-		writes.get(0).setFailure(new ClosedChannelException());
-		assertEquals(this.cut, List.of("/a TIMEOUT"));
+		return writes;
 	}
 
 	private CallerHandler.Processing process(CallerHandler caller, FullHttpRequest request) {
