Restart the idle timeout while a caller reads its response

What callers saw: a response that was cut in its body, at any time, though its caller was reading it. Cause: the idle timeout counts from the moment at which the response is handed to the event loop, and nothing restarts it while the response is written.

A write that has advanced since the last check now restarts the timeout (Netty's IdleStateHandler observes output in the same way); a caller that reads nothing is still cut.

The kernel takes more of a response only once about a third of its send buffer is free, so a caller that reads less than that within the idle timeout still counts as idle.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -17,6 +17,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -72,6 +73,9 @@
 	 */
 	private Processing unconfirmed;
 
+	private long writeProgress;
+
+
 	private Disconnection disconnection = Disconnection.CALLER;
 
 	/**
@@ -172,12 +176,17 @@
 	}
 
 	/**
-	 * Closes the connection since the caller exceeded a timeout.
+	 * Closes the connection since the caller exceeded a timeout, unless it is still
+	 * reading a response.
 	 */
 	void closeTimedOut() {
 		if (this.lastWrite.isDone()) {
 			closeAfterLastWrite();
 		}
+		else if (this.writeProgress != currentWriteProgress()) {
+			this.writeProgress = currentWriteProgress();
+			this.timeouts.responseProgressed();
+		}
 		else {
 			close(Disconnection.TIMEOUT);
 		}
@@ -274,6 +283,7 @@
 				this.context.close();
 			}
 		});
+		this.writeProgress = currentWriteProgress();
 		if (close) {
 			this.unconfirmed = answered;
 			closeAfterLastWrite();
@@ -283,6 +293,11 @@
 		}
 	}
 
+	private long currentWriteProgress() {
+		ChannelOutboundBuffer unwritten = this.context.channel().unsafe().outboundBuffer();
+		return (unwritten != null) ? unwritten.currentProgress() : 0;
+	}
+
 	private void closeAfterLastWrite() {
 		if (!this.closing) {
 			this.closing = true;
--- a/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
@@ -54,6 +54,13 @@
 		this.stateSince = System.nanoTime();
 	}
 
+	/**
+	 * Restarts the timeout of the current state, since the caller reads a response.
+	 */
+	void responseProgressed() {
+		this.stateSince = System.nanoTime();
+	}
+
 	/**
 	 * Returns the time at which the first byte of the last request was read.
 	 * @return the time in nanoseconds
