Reset connections that end within a response without a length

The connection now has a linger time of 0 from the start of such a response until it is written, so that every early end, that of the process too, resets it.

Evidence: ConnectionEndTests#aResponseWithoutLengthThatIsCutDoesNotLookComplete failed before in two of two runs (a clean end; 3,284,992 of 12,000,000 bytes in a trial of the same), and passes now, as do aResponseWithoutLengthReachesItsCallerWhole and the rest of ConnectionEndTests (9) and CallerHandlerTests (7). The end of the process and SIGKILL were not played.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -17,6 +17,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -65,6 +66,8 @@
 
 	private boolean closing;
 
+	private boolean resetOnClose;
+
 	private ChannelFuture lastWrite;
 
 	/**
@@ -146,8 +149,13 @@
 		this.keepAlive &= framed || withoutBody;
 		if (framed || withoutBody) {
 			setContentLength(copy);
+			finish(copy);
+		}
+		else {
+			// An early end of the connection must not look like the end of the response.
+			resetOnClose(true);
+			finish(copy);
 		}
-		finish(copy);
 	}
 
 	/**
@@ -278,7 +286,10 @@
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
 		this.lastWrite = this.context.writeAndFlush(response).addListener((written) -> {
-			if (!written.isSuccess()) {
+			if (written.isSuccess()) {
+				resetOnClose(false);
+			}
+			else {
 				reportCut(answered);
 				this.context.close();
 			}
@@ -293,6 +304,13 @@
 		}
 	}
 
+	private void resetOnClose(boolean reset) {
+		if (this.resetOnClose != reset) {
+			this.resetOnClose = reset;
+			this.context.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+		}
+	}
+
 	private long currentWriteProgress() {
 		ChannelOutboundBuffer unwritten = this.context.channel().unsafe().outboundBuffer();
 		return (unwritten != null) ? unwritten.currentProgress() : 0;
