Let a stop wait only for requests and for responses that are not confirmed

What operators saw, since connections linger: a stop that lasted until the end of the grace period, over it on a busy machine, if one caller left an idle connection open (found by the review of this change). What callers saw, in any stop: a connection opened just before the listener closed, closed as idle while its first request was on its way.

A stop now waits for connections with a request, with a response being written, and with a last response whose connection the caller has not closed. Idle connections are closed one tick after the listener.

Evidence: ConnectionEndTests#anIdleConnectionThatItsCallerLeavesOpenDoesNotProlongAStop failed before (5,648 ms), aRequestOnOneOfTheLastAcceptedConnectionsIsAnswered failed without the tick; both pass, with CallerHandlerTests, StopScheduleTests, GatewayStopTests, AbandonedRequestTests and NewConnectionStopTests (one run).

--- a/masticlane/src/main/java/io/masticlane/caller/LingeringClose.java
+++ b/masticlane/src/main/java/io/masticlane/caller/LingeringClose.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -87,7 +86,11 @@
 		else if (channel instanceof DuplexChannel duplex) {
 			this.timeout = channel.eventLoop()
 				.schedule(() -> close(channel, Outcome.TIMED_OUT), MAXIMUM_MILLIS, TimeUnit.MILLISECONDS);
-			duplex.shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+			duplex.shutdownOutput().addListener((ended) -> {
+				if (!ended.isSuccess()) {
+					close(channel, Outcome.RESET);
+				}
+			});
 		}
 		else {
 			channel.close();
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -78,7 +78,6 @@
 
 	private long writeProgress;
 
-
 	private Disconnection disconnection = Disconnection.CALLER;
 
 	/**
@@ -200,6 +199,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request or a response would be lost if the process ended now, as
+	 * far as is known.
+	 * @return whether the end of the connection is awaited
+	 */
+	boolean isAwaited() {
+		return !this.closing || !this.lastWrite.isDone() || this.unconfirmed != null;
+	}
+
 	/**
 	 * Reports the last response if the caller may not have received it by the end of the
 	 * process.
@@ -290,6 +298,7 @@
 				resetOnClose(false);
 			}
 			else {
+				this.unconfirmed = null;
 				reportCut(answered);
 				this.context.close();
 			}
@@ -305,7 +314,7 @@
 	}
 
 	private void resetOnClose(boolean reset) {
-		if (this.resetOnClose != reset) {
+		if (this.resetOnClose != reset && this.context.channel().isActive()) {
 			this.resetOnClose = reset;
 			this.context.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
 		}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -302,20 +302,31 @@
 		this.fleet.memberUpdated(self(), System.nanoTime());
 		this.registration.rewrite();
 		this.peers.report(false);
-		this.loop.schedule(() -> stopWhenDrained(schedule), schedule.lingerMillis(), TimeUnit.MILLISECONDS);
+		this.loop.schedule(() -> closeListeners(schedule), schedule.lingerMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
-	 * Stops the daemon without losing requests: first the listeners are closed, then idle
-	 * connections, and each connection with a request in flight after its response.
+	 * Closes the listeners. The requests on the connections accepted last may still be on
+	 * their way, so that idle connections are closed a little later.
 	 * @param schedule the schedule of the stop
 	 */
-	private void stopWhenDrained(StopSchedule schedule) {
+	private void closeListeners(StopSchedule schedule) {
 		this.listeners.forEach(Channel::close);
+		this.loop.schedule(() -> stopWhenDrained(schedule),
+				Math.max(0, Math.min(schedule.remainingMillis(System.nanoTime()), GatewayTimes.TICK_INTERVAL_MILLIS)),
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Stops the daemon without losing requests: idle connections are closed first, and
+	 * each connection with a request in flight after its response.
+	 * @param schedule the schedule of the stop
+	 */
+	private void stopWhenDrained(StopSchedule schedule) {
 		forEachCaller(CallerHandler::closeIfIdle);
 		long now = System.nanoTime();
 		long remainingMillis = schedule.remainingMillis(now);
-		if (!this.callers.isEmpty() && remainingMillis > 0) {
+		if (awaitsCallers() && remainingMillis > 0) {
 			this.loop.schedule(() -> stopWhenDrained(schedule),
 					Math.min(remainingMillis, GatewayTimes.TICK_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
 			return;
@@ -335,7 +346,7 @@
 	 * @param schedule the schedule of the stop
 	 */
 	private void terminateWhenAnswered(StopSchedule schedule) {
-		if (!this.callers.isEmpty() && schedule.endsLater(System.nanoTime())) {
+		if (awaitsCallers() && schedule.endsLater(System.nanoTime())) {
 			this.loop.schedule(() -> terminateWhenAnswered(schedule), GatewayTimes.FINAL_POLL_MILLIS,
 					TimeUnit.MILLISECONDS);
 			return;
@@ -344,6 +355,10 @@
 		this.terminated.countDown();
 	}
 
+	private boolean awaitsCallers() {
+		return this.callers.stream().anyMatch((channel) -> channel.pipeline().get(CallerHandler.class).isAwaited());
+	}
+
 	private void forEachCaller(Consumer<CallerHandler> action) {
 		this.callers.forEach((channel) -> action.accept(channel.pipeline().get(CallerHandler.class)));
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/StopSchedule.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StopSchedule.java
@@ -28,7 +28,7 @@
 	 * The fraction of the time for the end that callers have to receive the last
 	 * responses. The rest is for the end of the process itself.
 	 */
-	private static final double FINAL_WAIT_FRACTION = 0.4;
+	private static final double FINAL_WAIT_FRACTION = 0.25;
 
 	/**
 	 * The fraction of the time for serving after which no more connections are accepted
