Tell requests bound to certain regions from those assigned to another one

Event 6108 and the metric of region choices counted a request that only bengal-north may serve as ASSIGNED, like one that the split of the objects sends there. Such requests now have the reason BOUND. Nothing is placed otherwise. PlacementTests and RegionFlowTests pass.

--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -255,7 +255,7 @@
 			.computeIfAbsent(request.route().name(), (route) -> new RouteRegionSplit())
 			.splitFor(splitController(request.service()), now)
 			.regionOf(request.object(), request.requestHash(), servers.regions());
-		Reason reason = assignedRegion.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
+		Reason reason = assignmentReason(request, assignedRegion);
 		Optional<Choice> healthyChoice = chooseFastest(request, servers.healthy(assignedRegion), now);
 		Optional<Choice> best = healthyChoice
 			.or(() -> chooseFastest(request, excludeCold(servers.all(assignedRegion), now), now))
@@ -329,6 +329,13 @@
 			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().localFraction()));
 	}
 
+	private Reason assignmentReason(Request request, String assignedRegion) {
+		if (!request.allowedRegions().isEmpty()) {
+			return Reason.BOUND;
+		}
+		return assignedRegion.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
+	}
+
 	private boolean isInService(ServerState server, long now) {
 		return !server.isLeaving(now) && server.pauseMillis(now) == 0 && (this.evacuatedDataCentres.isEmpty()
 				|| !this.evacuatedDataCentres.contains(server.entry().dataCentre()));
@@ -565,6 +572,11 @@
 		 */
 		ASSIGNED,
 
+		/**
+		 * The request may be served in certain regions only.
+		 */
+		BOUND,
+
 		/**
 		 * The region that the object is assigned to is overloaded.
 		 */
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -209,6 +209,15 @@
 		IntStream.range(0, 200).forEach((object) -> assertTrue(chosen(placement, object, Set.of()).startsWith("west")));
 	}
 
+	@Test
+	public void requestsThatAreBoundToARegionAreToldFromThoseAssignedToIt() {
+		Placement placement = placement("west", 2, 2);
+		assertEquals(placement.choose(request(1, Set.of("north"), Set.of()), LATER).orElseThrow().reason(),
+				Placement.Reason.BOUND);
+		assertEquals(placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow().reason(),
+				Placement.Reason.OWN);
+	}
+
 	@Test
 	public void aRegionThatRecoveredMayOverflowAgain() {
 		Placement placement = placement("north", 12, 2);
