Reset the requests that are open at the end of a planned stop

Such an attempt is kept open until its time is over, and the end of the process closed its connection in the ordinary way, after which the kernel still delivers what the other end has not acknowledged.

The connection pool now knows its open connections, one entry for each connection, and terminateWhenAnswered closes the pool: calls in progress are cancelled, which resets their connections, and idle connections are closed. Requests whose callers stayed were reset already.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -154,6 +154,15 @@
 			this.context.close();
 		}
 
+		void closeOrCancel() {
+			if (isAwaitingResponse()) {
+				this.call.cancel();
+			}
+			else {
+				close();
+			}
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext read, FullHttpResponse response) {
 			ClientCall activeCall = this.call;
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -15,6 +15,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -56,6 +58,8 @@
 
 	private final Map<InetSocketAddress, Deque<ClientCall.Handler>> idle = new HashMap<>();
 
+	private final ChannelGroup open;
+
 	/**
 	 * Creates a pool.
 	 * @param loop the event loop, on which calls are made and completed
@@ -68,6 +72,7 @@
 		this.connectTimeoutMillis = connectTimeoutMillis;
 		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(idleMillis);
 		this.memory = memory;
+		this.open = new DefaultChannelGroup(loop);
 	}
 
 	/**
@@ -100,6 +105,7 @@
 						.addLast(new HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
 								new ResponseAggregator(ConnectionPool.this.memory, handler::isAwaitingResponse),
 								handler);
+					ConnectionPool.this.open.add(channel);
 				}
 			})
 			.connect(address);
@@ -140,6 +146,15 @@
 		}
 	}
 
+	/**
+	 * Closes all connections. The calls in progress are cancelled, so that no part of
+	 * their requests arrives after the end of this process.
+	 */
+	public void close() {
+		this.idle.clear();
+		this.open.forEach((channel) -> channel.pipeline().get(ClientCall.Handler.class).closeOrCancel());
+	}
+
 	private ClientCall.Handler acquire(InetSocketAddress address, long maximumIdleNanos) {
 		Deque<ClientCall.Handler> handlers = this.idle.get(address);
 		long now = System.nanoTime();
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -341,6 +341,7 @@
 			return;
 		}
 		forEachCaller(CallerHandler::processEnds);
+		this.gateway.connections().close();
 		this.terminated.countDown();
 	}
 
