--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -42,6 +43,19 @@
 		}
 	},
 
+	/**
+	 * Sends a complete response with a body of 100 kB.
+	 */
+	LARGE {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			FullHttpResponse large = response.replace(Unpooled.wrappedBuffer(new byte[LARGE_BODY_BYTES]));
+			large.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, LARGE_BODY_BYTES);
+			response.release();
+			context.writeAndFlush(large);
+		}
+	},
+
 	/**
 	 * Sends a response with the request identifier of a different request.
 	 */
@@ -130,6 +144,8 @@
 		}
 	};
 
+	private static final int LARGE_BODY_BYTES = 100_000;
+
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
 
 	/**
