--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -42,6 +43,29 @@
 		}
 	},
 
+	/**
+	 * Sends a complete response after an additional delay of 30 seconds.
+	 */
+	STALLED {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			context.writeAndFlush(response);
+		}
+	},
+
+	/**
+	 * Sends a complete response with a body of 100 kB.
+	 */
+	LARGE {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			FullHttpResponse large = response.replace(Unpooled.wrappedBuffer(new byte[LARGE_BODY_BYTES]));
+			large.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, LARGE_BODY_BYTES);
+			response.release();
+			context.writeAndFlush(large);
+		}
+	},
+
 	/**
 	 * Sends a response with the request identifier of a different request.
 	 */
@@ -130,8 +154,12 @@
 		}
 	};
 
+	private static final int LARGE_BODY_BYTES = 100_000;
+
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
 
+	private static final long STALLED_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(30);
+
 	/**
 	 * Writes the response.
 	 * @param context the channel handler context of the connection
@@ -140,7 +168,11 @@
 	abstract void write(ChannelHandlerContext context, FullHttpResponse response);
 
 	long delayMillis() {
-		return (this == LATE) ? LATE_DELAY_MILLIS : 0;
+		return switch (this) {
+			case LATE -> LATE_DELAY_MILLIS;
+			case STALLED -> STALLED_DELAY_MILLIS;
+			default -> 0;
+		};
 	}
 
 	static StandInResponse of(HttpRequest request) {
