Refuse what would outlast a planned stop of an entry host, and answer what is in flight at its end

What callers saw: a request that arrived late in a planned stop of masticlane entry was run whatever time it might take, and at the end of the process requests in flight were cut without a response.

Cause: EntryDaemon#drain compared the deadlines of requests with nothing, and close() shut the event loops down with requests in flight.

PlannedStop now admits a request, once look-ups have expired, only if its own deadline lies within the time for serving. Others are refused at once with shutting-down and Retry-After, as not run if the decision core knows that no attempt at the operation has run, else as unknown. Responses that have begun are still cut at the end.

--- a/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
+++ b/masticlane/src/main/java/io/masticlane/caller/CallerServer.java
@@ -31,6 +31,11 @@
 	 */
 	static final Object CLOSE_IDLE = new Object();
 
+	/**
+	 * User event that ends the request in flight on a connection, since the process ends.
+	 */
+	static final Object END_IN_FLIGHT = new Object();
+
 	private static final int MAXIMUM_HEAD_BYTES = 16 * 1024;
 
 	private static final int MAXIMUM_REQUEST_LINE_BYTES = 8 * 1024;
@@ -90,8 +95,7 @@
 	 * @param table the routing table, which must have been published
 	 */
 	public void configurationChanged(RoutingTable table) {
-		this.callerChannels
-			.forEach((channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(table)));
+		fireOnEveryConnection(table);
 	}
 
 	/**
@@ -100,11 +104,23 @@
 	 */
 	public int closeIdle() {
 		int open = this.callerChannels.size();
-		this.callerChannels.forEach(
-				(channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(CLOSE_IDLE)));
+		fireOnEveryConnection(CLOSE_IDLE);
 		return open;
 	}
 
+	/**
+	 * Refuses the requests in flight whose responses have not begun, and closes their
+	 * connections after the refusals. Their outcome is unknown if they may have run.
+	 */
+	public void endInFlight() {
+		fireOnEveryConnection(END_IN_FLIGHT);
+	}
+
+	private void fireOnEveryConnection(Object event) {
+		this.callerChannels
+			.forEach((channel) -> channel.eventLoop().execute(() -> channel.pipeline().fireUserEventTriggered(event)));
+	}
+
 	private void initialize(SocketChannel channel) {
 		this.callerChannels.add(channel);
 		BackendConnections pool = this.connectionPools.computeIfAbsent(channel.eventLoop(), BackendConnections::new);
--- a/masticlane/src/main/java/io/masticlane/caller/EntryServices.java
+++ b/masticlane/src/main/java/io/masticlane/caller/EntryServices.java
@@ -1,6 +1,7 @@
 package io.masticlane.caller;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -18,9 +19,12 @@
  * @param lookUps responds to look-ups
  * @param leaving whether the connections of callers are to be closed after each response
  * @param stale whether keys may have been revoked without this entry host knowing
+ * @param admission whether a request with a deadline, in nanoseconds, ends before a
+ * planned stop does
  * @param stopping whether the daemon is stopping
  * @param metrics the metrics of the daemon
  */
 public record EntryServices(Steering steering, Predicate<Runnable> decisions, Supplier<RoutingTable> table,
-		LookUps lookUps, BooleanSupplier leaving, BooleanSupplier stale, BooleanSupplier stopping, Metrics metrics) {
+		LookUps lookUps, BooleanSupplier leaving, BooleanSupplier stale, LongPredicate admission,
+		BooleanSupplier stopping, Metrics metrics) {
 }
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -63,7 +63,7 @@
 
 	private final BackendConnections connections;
 
-	private final boolean keepAlive;
+	private boolean keepAlive;
 
 	private final long startedAt = System.nanoTime();
 
@@ -79,7 +79,10 @@
 
 	private boolean responseStarted;
 
-	private boolean expired;
+	/**
+	 * Whether no more attempts are made, since the deadline passed or the process ends.
+	 */
+	private boolean attemptsEnded;
 
 	private boolean done;
 
@@ -109,13 +112,17 @@
 			.schedule(this::timedOut, this.check.allowedNanos(), TimeUnit.NANOSECONDS);
 		IncomingRequest incoming = new IncomingRequest(this.check.organisation(), this.check.match(),
 				this.check.operation(), this.deadline, this);
-		boolean accepted = this.services.decisions()
-			.test(() -> this.inFlightRequest = this.services.steering().submit(incoming, System.nanoTime()));
-		if (!accepted) {
+		if (!this.services.decisions().test(() -> submit(incoming))) {
 			refuseUnsubmitted(ErrorKind.SATURATED);
 		}
 	}
 
+	private void submit(IncomingRequest incoming) {
+		this.inFlightRequest = this.services.admission().test(this.deadline)
+				? this.services.steering().submit(incoming, System.nanoTime())
+				: this.services.steering().refuseInStop(incoming);
+	}
+
 	@Override
 	public void dispatch(BackendServer server) {
 		this.context.executor().execute(() -> send(server));
@@ -166,6 +173,20 @@
 		}
 	}
 
+	/**
+	 * Ends the request because the process ends. A response that has begun continues
+	 * until the connection is closed.
+	 */
+	void entryHostEnds() {
+		if (!this.done && !this.responseStarted) {
+			this.attemptsEnded = true;
+			this.keepAlive = false;
+			AttemptResult result = cancelAttempt() ? AttemptResult.ABANDONED : AttemptResult.CANCELLED;
+			submitCommand(
+					() -> this.services.steering().entryHostEnds(this.inFlightRequest, result, System.nanoTime()));
+		}
+	}
+
 	/**
 	 * Refuses a request that was not submitted to the decision core. Earlier attempts at
 	 * its operation are unknown here.
@@ -181,7 +202,7 @@
 	}
 
 	private void send(BackendServer server) {
-		if (this.done || this.expired) {
+		if (this.done || this.attemptsEnded) {
 			return;
 		}
 		this.attempt = new Attempt(server);
@@ -210,7 +231,7 @@
 
 	private void timedOut() {
 		if (!this.done) {
-			this.expired = true;
+			this.attemptsEnded = true;
 			endAttempt(cancelAttempt() ? AttemptResult.TIMED_OUT : AttemptResult.CANCELLED);
 		}
 	}
--- a/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
+++ b/masticlane/src/main/java/io/masticlane/caller/RequestHandler.java
@@ -91,6 +91,9 @@
 		if (event instanceof RoutingTable table && this.current != null) {
 			this.current.keysChanged(table);
 		}
+		else if (event == CallerServer.END_IN_FLIGHT && this.current != null) {
+			this.current.entryHostEnds();
+		}
 		else if (event == CallerServer.CLOSE_IDLE && this.current == null && !this.closing) {
 			closeAfterFlush(context);
 		}
--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -43,6 +43,16 @@
 		}
 	},
 
+	/**
+	 * Sends a complete response after an additional delay of 30 seconds.
+	 */
+	STALLED {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			context.writeAndFlush(response);
+		}
+	},
+
 	/**
 	 * Sends a complete response with a body of 100 kB.
 	 */
@@ -148,6 +158,8 @@
 
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
 
+	private static final long STALLED_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(30);
+
 	/**
 	 * Writes the response.
 	 * @param context the channel handler context of the connection
@@ -156,7 +168,11 @@
 	abstract void write(ChannelHandlerContext context, FullHttpResponse response);
 
 	long delayMillis() {
-		return (this == LATE) ? LATE_DELAY_MILLIS : 0;
+		return switch (this) {
+			case LATE -> LATE_DELAY_MILLIS;
+			case STALLED -> STALLED_DELAY_MILLIS;
+			default -> 0;
+		};
 	}
 
 	static StandInResponse of(HttpRequest request) {
--- a/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/entry/EntryDaemon.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -134,6 +135,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile LongPredicate admission = (deadline) -> true;
+
 	private volatile boolean stopping;
 
 	private volatile int inFlight;
@@ -183,7 +186,8 @@
 		this.fleetLimits.register(this.router);
 		EntryServices services = new EntryServices(this.steering, this::offerToDecisions, this::servedTable,
 				(client) -> this.directory.response(client), () -> this.leaving,
-				() -> !this.keyFreshness.isFresh(System.nanoTime()), () -> this.stopping, this.metrics);
+				() -> !this.keyFreshness.isFresh(System.nanoTime()), (deadline) -> this.admission.test(deadline),
+				() -> this.stopping, this.metrics);
 		this.callers = new CallerServer(this.callerLoops, services, settings.maximumBodyBytes());
 		this.decisions = new Duty("decisions", DECISIONS_QUEUE_CAPACITY, DECISIONS_TICK_MILLIS, this::tick, events);
 		this.watch = new StoreWatch(store, settings.storePrefix() + ConfigurationEnvelope.KEY, () -> this.watchRole,
@@ -200,16 +204,19 @@
 	/**
 	 * Drains and closes this daemon: steers callers away, serves requests until cached
 	 * look-ups have expired and no more requests arrive, and closes when no request is in
-	 * flight.
+	 * flight. Requests that would outlast the stop are refused.
 	 */
 	public void drain() {
+		PlannedStop stop = new PlannedStop(Duration.ofMillis(this.settings.drainMillis()),
+				Duration.ofMillis(this.settings.lookUpTtlMillis() + this.settings.heartbeatMillis()));
+		this.admission = stop::admits;
 		this.leaving = true;
 		this.events.record(Event.ENTRY_STOPPING, this.settings.host(), this.inFlight);
 		this.decisions.offer(this::announceLeaving);
-		new PlannedStop(Duration.ofMillis(this.settings.drainMillis()),
-				Duration.ofMillis(this.settings.lookUpTtlMillis() + this.settings.heartbeatMillis()))
-			.run(() -> this.arrivals, () -> this.inFlight, this::closeIdleCallers);
+		stop.run(() -> this.arrivals, () -> this.inFlight, this::closeIdleCallers);
 		this.events.record(Event.ENTRY_STOPPED, this.settings.host(), this.inFlight);
+		this.callers.endInFlight();
+		stop.awaitDelivery(this::closeIdleCallers);
 		close();
 	}
 
--- a/masticlane/src/main/java/io/masticlane/entry/PlannedStop.java
+++ b/masticlane/src/main/java/io/masticlane/entry/PlannedStop.java
@@ -6,7 +6,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Waits for the end of traffic in a planned stop, after callers were steered away.
+ * A planned stop, after callers were steered away: waits for the end of traffic, and
+ * admits requests that end in time.
  */
 final class PlannedStop {
 
@@ -22,7 +23,19 @@
 	 */
 	private static final long MAXIMUM_QUIET_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-	private final long deadline;
+	/**
+	 * The fraction of a stop in which callers may receive the last responses.
+	 */
+	private static final double DELIVERY_FRACTION = 1.0 / 6;
+
+	/**
+	 * The longest time in which callers may receive the last responses.
+	 */
+	private static final long MAXIMUM_DELIVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private final long servingEnd;
+
+	private final long end;
 
 	private final long lookUpExpiry;
 
@@ -35,14 +48,26 @@
 	 */
 	PlannedStop(Duration maximumDuration, Duration lookUpLifetime) {
 		long now = System.nanoTime();
-		this.deadline = now + maximumDuration.toNanos();
+		this.end = now + maximumDuration.toNanos();
+		this.servingEnd = this.end
+				- Math.min(MAXIMUM_DELIVERY_NANOS, (long) (maximumDuration.toNanos() * DELIVERY_FRACTION));
 		this.lookUpExpiry = now + lookUpLifetime.toNanos();
 		this.quietWaitEnd = this.lookUpExpiry + MAXIMUM_QUIET_WAIT_NANOS;
 	}
 
+	/**
+	 * Returns whether a request is admitted that arrives at the current time. As long as
+	 * callers use cached look-ups, each request is until the time for serving is over.
+	 * @param deadline the deadline of the request in nanoseconds
+	 * @return whether the request is admitted
+	 */
+	boolean admits(long deadline) {
+		return deadline - this.servingEnd <= 0 || (!isPast(this.lookUpExpiry) && !isPast(this.servingEnd));
+	}
+
 	/**
 	 * Waits until callers no longer send requests, then until the requests in flight have
-	 * completed and all connections are closed.
+	 * completed and all connections are closed, or until the time for serving is over.
 	 * @param arrivals returns the number of requests received since the start
 	 * @param inFlight returns the number of requests in flight
 	 * @param closeIdle closes idle connections and returns how many were open
@@ -51,7 +76,7 @@
 		long lastArrivals = arrivals.getAsLong();
 		long quietSince = System.nanoTime();
 		while (!isPast(this.lookUpExpiry) || (!isPast(quietSince + QUIET_PERIOD_NANOS) && !isPast(this.quietWaitEnd))) {
-			if (isPast(this.deadline) || !pause()) {
+			if (isPast(this.servingEnd) || !pause()) {
 				return;
 			}
 			if (arrivals.getAsLong() != lastArrivals) {
@@ -60,12 +85,23 @@
 			}
 		}
 		while (closeIdle.getAsInt() > 0 || inFlight.getAsInt() > 0) {
-			if (isPast(this.deadline) || !pause()) {
+			if (isPast(this.servingEnd) || !pause()) {
 				return;
 			}
 		}
 	}
 
+	/**
+	 * Waits until callers have received the last responses, or until the stop ends.
+	 * @param closeIdle closes idle connections and returns how many were open
+	 */
+	void awaitDelivery(IntSupplier closeIdle) {
+		boolean open = closeIdle.getAsInt() > 0;
+		while (open && !isPast(this.end) && pause()) {
+			open = closeIdle.getAsInt() > 0;
+		}
+	}
+
 	private static boolean isPast(long time) {
 		return time - System.nanoTime() <= 0;
 	}
--- a/masticlane/src/main/java/io/masticlane/steering/AttemptResult.java
+++ b/masticlane/src/main/java/io/masticlane/steering/AttemptResult.java
@@ -31,13 +31,14 @@
 	TIMED_OUT,
 
 	/**
-	 * The deadline passed or the caller disconnected while no attempt was in progress at
-	 * a backend server.
+	 * The deadline passed, the caller disconnected or the entry host ended while no
+	 * attempt was in progress at a backend server.
 	 */
 	CANCELLED,
 
 	/**
-	 * The caller disconnected, or its response was cut off after it had begun.
+	 * The caller disconnected, its response was cut off after it had begun, or the entry
+	 * host ended.
 	 */
 	ABANDONED
 
--- a/masticlane/src/main/java/io/masticlane/steering/Steering.java
+++ b/masticlane/src/main/java/io/masticlane/steering/Steering.java
@@ -23,6 +23,11 @@
 	private static final Set<AttemptResult> MAY_HAVE_RUN = EnumSet.of(AttemptResult.ANSWERED, AttemptResult.LOST,
 			AttemptResult.TIMED_OUT, AttemptResult.ABANDONED);
 
+	/**
+	 * Refuses a request in a planned stop. Other entry hosts can serve it at once.
+	 */
+	private static final Refusal STOPPING = Refusal.of(ErrorKind.SHUTTING_DOWN).withRetryAfterMillis(50);
+
 	private final Limits limits;
 
 	private final Operations operations;
@@ -82,6 +87,31 @@
 		return request;
 	}
 
+	/**
+	 * Refuses a request that would probably outlast a planned stop.
+	 * @param incoming the request
+	 * @return the state of the request
+	 */
+	public InFlightRequest refuseInStop(IncomingRequest incoming) {
+		InFlightRequest request = new InFlightRequest(incoming);
+		this.inFlight++;
+		refuse(request, STOPPING);
+		return request;
+	}
+
+	/**
+	 * Refuses a request in flight because this entry host ends.
+	 * @param request the state of the request
+	 * @param result the result of its current attempt
+	 * @param now the current time in nanoseconds
+	 */
+	public void entryHostEnds(InFlightRequest request, AttemptResult result, long now) {
+		if (!request.isEnded()) {
+			endAttempt(request, result, now);
+			refuse(request, STOPPING);
+		}
+	}
+
 	/**
 	 * Decides how to continue with a request after an attempt ended, or after its caller
 	 * disconnected before one started.
@@ -93,10 +123,7 @@
 		if (request.isEnded()) {
 			return;
 		}
-		freeSlot(request, result, now);
-		if (MAY_HAVE_RUN.contains(result)) {
-			request.markMayHaveRun();
-		}
+		endAttempt(request, result, now);
 		switch (result) {
 			case ANSWERED, ABANDONED -> finish(request);
 			case NOT_SENT, SHED -> this.dispatcher.retry(request);
@@ -206,6 +233,13 @@
 		verdict.response().ifPresent(request.incoming().handler()::replay);
 	}
 
+	private void endAttempt(InFlightRequest request, AttemptResult result, long now) {
+		freeSlot(request, result, now);
+		if (MAY_HAVE_RUN.contains(result)) {
+			request.markMayHaveRun();
+		}
+	}
+
 	private void freeSlot(InFlightRequest request, AttemptResult result, long now) {
 		if (request.server() == null) {
 			this.dispatcher.remove(request);
