Reset only for the response without a length, and describe how connections end

A pipelined response that was written late could take back the reset of the one behind it (by reading, not shown). Its own write now takes it back.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -62,12 +62,16 @@
 
 	private boolean headRequest;
 
+	/**
+	 * Whether requests beyond the limit of pipelined ones were left out.
+	 */
 	private boolean overfull;
 
+	/**
+	 * Whether nothing more is processed, and the connection ends after the last write.
+	 */
 	private boolean closing;
 
-	private boolean resetOnClose;
-
 	private ChannelFuture lastWrite;
 
 	/**
@@ -76,6 +80,9 @@
 	 */
 	private Processing unconfirmed;
 
+	/**
+	 * The progress of the response that is being written, when it was last looked at.
+	 */
 	private long writeProgress;
 
 	private Disconnection disconnection = Disconnection.CALLER;
@@ -154,6 +161,7 @@
 			// An early end of the connection must not look like the end of the response.
 			resetOnClose(true);
 			finish(copy);
+			this.lastWrite.addListener((written) -> resetOnClose(false));
 		}
 	}
 
@@ -294,10 +302,7 @@
 			response.headers().set(HttpHeaderNames.CONNECTION, "close");
 		}
 		this.lastWrite = this.context.writeAndFlush(response).addListener((written) -> {
-			if (written.isSuccess()) {
-				resetOnClose(false);
-			}
-			else {
+			if (!written.isSuccess()) {
 				this.unconfirmed = null;
 				reportCut(answered);
 				this.context.close();
@@ -314,8 +319,7 @@
 	}
 
 	private void resetOnClose(boolean reset) {
-		if (this.resetOnClose != reset && this.context.channel().isActive()) {
-			this.resetOnClose = reset;
+		if (this.context.channel().isActive()) {
 			this.context.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
 		}
 	}
