Log on which connection an attempt ran and whether it had carried the identifier

The hypotheses of the incident could not be told apart: no line told on which connection an attempt ran, whether that connection had carried the same identifier before, or that data came on it which no call awaited. 6202, 6203 and 6204 now name the connection, the calls that it has carried, and whether the identifier is repeated on it; 6111 reports unexpected data; two counters do the same.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -1,5 +1,6 @@
 package io.masticlane.client;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -25,7 +26,7 @@
 
 	private boolean written;
 
-	private boolean onReusedConnection;
+	private ConnectionUse use = ConnectionUse.NONE;
 
 	ClientCall(ResponseListener listener) {
 		this.listener = listener;
@@ -67,7 +68,15 @@
 	 * @return whether the connection was reused
 	 */
 	public boolean isOnReusedConnection() {
-		return this.onReusedConnection;
+		return this.use.calls() > 1;
+	}
+
+	/**
+	 * Returns how the call uses its connection.
+	 * @return the use, or {@link ConnectionUse#NONE} before the call has a connection
+	 */
+	public ConnectionUse use() {
+		return this.use;
 	}
 
 	void connectStarted(Channel started) {
@@ -96,13 +105,17 @@
 
 		private static final String TIMEOUT = "timeout=";
 
+		private final long number;
+
 		private final Consumer<Handler> onComplete;
 
+		private final SentIdentifiers sentIdentifiers = new SentIdentifiers();
+
 		private ChannelHandlerContext context;
 
 		private ClientCall call;
 
-		private boolean used;
+		private ConnectionUse lastUse = ConnectionUse.NONE;
 
 		private boolean requestWritten;
 
@@ -112,7 +125,8 @@
 
 		private long idleTimeoutNanos = Long.MAX_VALUE;
 
-		Handler(Consumer<Handler> onComplete) {
+		Handler(long number, Consumer<Handler> onComplete) {
+			this.number = number;
 			this.onComplete = onComplete;
 		}
 
@@ -121,7 +135,7 @@
 			this.context = added;
 		}
 
-		void send(ClientCall started, FullHttpRequest request) {
+		void send(ClientCall started, FullHttpRequest request, Optional<String> identifier) {
 			started.channel = this.context.channel();
 			if (started.ended) {
 				request.release();
@@ -131,13 +145,19 @@
 			this.call = started;
 			this.requestWritten = false;
 			started.written = true;
-			started.onReusedConnection = this.used;
-			this.used = true;
+			this.lastUse = new ConnectionUse(this.number, this.lastUse.calls() + 1,
+					identifier.filter(this.sentIdentifiers::contains).isPresent());
+			identifier.ifPresent(this.sentIdentifiers::add);
+			started.use = this.lastUse;
 			this.context.channel()
 				.writeAndFlush(request)
 				.addListener((ChannelFuture done) -> this.requestWritten = done.isSuccess());
 		}
 
+		ConnectionUse lastUse() {
+			return this.lastUse;
+		}
+
 		long idleSince() {
 			return this.idleSince;
 		}
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.memory.MessageMemory;
@@ -60,36 +61,45 @@
 
 	private final ChannelGroup open;
 
+	private final UnexpectedDataListener unexpectedDataListener;
+
+	private long connections;
+
 	/**
 	 * Creates a pool.
 	 * @param loop the event loop, on which calls are made and completed
 	 * @param connectTimeoutMillis the timeout for connecting, in milliseconds
 	 * @param idleMillis the maximum idle time of a connection, in milliseconds
 	 * @param memory the memory for the bodies of responses
+	 * @param unexpectedDataListener notified of data on idle connections
 	 */
-	public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long idleMillis, MessageMemory memory) {
+	public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long idleMillis, MessageMemory memory,
+			UnexpectedDataListener unexpectedDataListener) {
 		this.loop = loop;
 		this.connectTimeoutMillis = connectTimeoutMillis;
 		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(idleMillis);
 		this.memory = memory;
 		this.open = new DefaultChannelGroup(loop);
+		this.unexpectedDataListener = unexpectedDataListener;
 	}
 
 	/**
 	 * Makes a call.
 	 * @param address the address of the other end
 	 * @param request the request, which is released
+	 * @param identifier the identifier of the request that its response repeats, if it
+	 * has one
 	 * @param maximumIdleMillis the maximum idle time of a reused connection, in
 	 * milliseconds
 	 * @param listener receives the result of the call
 	 * @return the call
 	 */
-	public ClientCall call(InetSocketAddress address, FullHttpRequest request, long maximumIdleMillis,
-			ResponseListener listener) {
+	public ClientCall call(InetSocketAddress address, FullHttpRequest request, Optional<String> identifier,
+			long maximumIdleMillis, ResponseListener listener) {
 		ClientCall call = new ClientCall(listener);
 		ClientCall.Handler pooled = acquire(address, TimeUnit.MILLISECONDS.toNanos(maximumIdleMillis));
 		if (pooled != null) {
-			pooled.send(call, request);
+			pooled.send(call, request, identifier);
 			return call;
 		}
 		ChannelFuture connectFuture = new Bootstrap().group(this.loop)
@@ -100,10 +110,13 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					ClientCall.Handler handler = new ClientCall.Handler((released) -> release(address, released));
+					ClientCall.Handler handler = new ClientCall.Handler(++ConnectionPool.this.connections,
+							(released) -> release(address, released));
 					channel.pipeline()
 						.addLast(new HttpClientCodec(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES),
-								new ResponseAggregator(ConnectionPool.this.memory, handler::isAwaitingResponse),
+								new ResponseAggregator(ConnectionPool.this.memory, handler::isAwaitingResponse,
+										(data) -> ConnectionPool.this.unexpectedDataListener.dataReceived(address,
+												handler.lastUse(), data)),
 								handler);
 					ConnectionPool.this.open.add(channel);
 				}
@@ -112,7 +125,7 @@
 		call.connectStarted(connectFuture.channel());
 		connectFuture.addListener((ChannelFuture connected) -> {
 			if (connected.isSuccess()) {
-				connected.channel().pipeline().get(ClientCall.Handler.class).send(call, request);
+				connected.channel().pipeline().get(ClientCall.Handler.class).send(call, request, identifier);
 			}
 			else {
 				request.release();
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -170,6 +170,12 @@
 	 */
 	SERVER_FOUND_COLD(6110, Severity.INFORMATION, "server={} service={} cold_ms={} store_age_ms={}"),
 
+	/**
+	 * A connection to a backend server received data that no call awaited, and was
+	 * closed.
+	 */
+	DATA_UNEXPECTED(6111, Severity.INFORMATION, "address={} connection={} calls={} data={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
@@ -179,19 +185,20 @@
 	/**
 	 * An attempt at a backend server produced no response that can be forwarded.
 	 */
-	ATTEMPT_FAILED(6202, Severity.INFORMATION, "request={} server={} attempt={} failure={} age_ms={} detail={}"),
+	ATTEMPT_FAILED(6202, Severity.INFORMATION,
+			"request={} server={} attempt={} failure={} age_ms={} connection={} calls={} repeated={} detail={}"),
 
 	/**
 	 * A request failed and may have run.
 	 */
 	REQUEST_FAILED(6203, Severity.WARNING,
-			"request={} reason={} status={} route={} server={} attempts={} age_ms={} plan={}"),
+			"request={} reason={} status={} route={} server={} attempts={} age_ms={} connection={} calls={} repeated={} plan={}"),
 
 	/**
 	 * A request was served.
 	 */
 	REQUEST_SERVED(6204, Severity.INFORMATION,
-			"request={} status={} route={} server={} attempts={} age_ms={} expected_ms={} warm={} plan={}"),
+			"request={} status={} route={} server={} attempts={} age_ms={} expected_ms={} warm={} connection={} calls={} repeated={} plan={}"),
 
 	/**
 	 * The connection of a request's caller ended before the request did.
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -1,5 +1,6 @@
 package io.masticlane.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import io.masticlane.admission.AdmissionPolicy;
 import io.masticlane.admission.RetryAllowance;
 import io.masticlane.client.ConnectionPool;
+import io.masticlane.client.ConnectionUse;
+import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.fleet.GatewayFleet;
 import io.masticlane.memory.MessageMemory;
@@ -86,10 +89,15 @@
 		this.fleet = fleet;
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
 		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
-				this.memory);
+				this.memory, this::unexpectedDataReceived);
 		this.announcements = new ServerAnnouncements(this.servers, events);
 	}
 
+	private void unexpectedDataReceived(InetSocketAddress address, ConnectionUse lastUse, String data) {
+		this.metrics.unexpectedDataReceived();
+		this.events.record(Event.DATA_UNEXPECTED, address, lastUse.connection(), lastUse.calls(), data);
+	}
+
 	void settings(GatewaySettings updated) {
 		this.settings = updated;
 		this.placement.setColdBounds(updated.coldOvershoot(), updated.coldSlack());
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -61,6 +61,16 @@
 		.labelNames("result")
 		.register(this.registry);
 
+	private final Counter unexpectedData = Counter.builder()
+		.name("masticlane_gateway_unexpected_data_total")
+		.help("Connections to backend servers that were closed since they received data that no call awaited.")
+		.register(this.registry);
+
+	private final Counter repeatedIdentifiers = Counter.builder()
+		.name("masticlane_gateway_repeated_identifiers_total")
+		.help("Attempts over a connection that had carried their identifier before.")
+		.register(this.registry);
+
 	private final Gauge planVersion = Gauge.builder()
 		.name("masticlane_gateway_plan_version")
 		.help("The version of the traffic plan in force.")
@@ -103,6 +113,14 @@
 		this.healthChecks.labelValues(result).inc();
 	}
 
+	void unexpectedDataReceived() {
+		this.unexpectedData.inc();
+	}
+
+	void identifierRepeated() {
+		this.repeatedIdentifiers.inc();
+	}
+
 	void planChanged(long version) {
 		this.planVersion.set(version);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
@@ -108,7 +108,7 @@
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
 			request.headers().set(HttpHeaderNames.HOST, this.server.entry().address().getHostString());
 			this.call = HealthChecks.this.gateway.connections()
-				.call(this.server.entry().address(), request, MAXIMUM_IDLE_MILLIS, this);
+				.call(this.server.entry().address(), request, Optional.empty(), MAXIMUM_IDLE_MILLIS, this);
 		}
 
 		private boolean cancelIfOverdue(long now) {
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.client.ClientCall;
+import io.masticlane.client.ConnectionUse;
 import io.masticlane.client.ResponseListener;
 import io.masticlane.placement.Placement;
 import io.masticlane.placement.Rendezvous;
@@ -337,9 +338,12 @@
 		this.sentAt = now;
 		this.attemptOpen = true;
 		this.call = this.gateway.connections()
-			.call(server.entry().address(), forwarded,
+			.call(server.entry().address(), forwarded, Optional.of(this.callerRequest.id()),
 					this.route.idempotent() ? IDEMPOTENT_MAXIMUM_IDLE_MILLIS : NON_IDEMPOTENT_MAXIMUM_IDLE_MILLIS,
 					new Attempt(server));
+		if (this.call.use().repeated()) {
+			this.gateway.metrics().identifierRepeated();
+		}
 	}
 
 	private void handleUntrustedResponse(ServerState server, FullHttpResponse response) {
@@ -347,7 +351,8 @@
 		this.sentToServers.add(server.entry().id());
 		this.mayHaveRun = true;
 		server.recordFailure(System.nanoTime());
-		this.events.attemptFailed(server, this.triedServers.size(), "untrusted", response.status().toString());
+		this.events.attemptFailed(server, this.triedServers.size(), "untrusted", connectionUse(),
+				response.status().toString());
 		retryOrFail("untrusted_answer");
 	}
 
@@ -368,7 +373,8 @@
 			else if (!atCapacity) {
 				server.recordResponse(this.placementRequest.object(), false, this.sentAt, now);
 			}
-			this.events.attemptFailed(server, this.triedServers.size(), "not_run", response.status().toString());
+			this.events.attemptFailed(server, this.triedServers.size(), "not_run", connectionUse(),
+					response.status().toString());
 			this.gateway.metrics().attemptFinished("not_run");
 			if (!this.finished) {
 				retryElsewhere("shed",
@@ -393,7 +399,8 @@
 			return;
 		}
 		if (response.status().code() >= SERVER_ERROR_STATUS && this.route.idempotent() && canRetry()) {
-			this.events.attemptFailed(server, this.triedServers.size(), "server_error", response.status().toString());
+			this.events.attemptFailed(server, this.triedServers.size(), "server_error", connectionUse(),
+					response.status().toString());
 			attempt();
 			return;
 		}
@@ -408,11 +415,12 @@
 		}
 		if (success) {
 			if (this.gateway.sampleServed()) {
-				this.events.served(response.status().code(), this.triedServers.size(), this.choice);
+				this.events.served(response.status().code(), this.triedServers.size(), this.choice, connectionUse());
 			}
 		}
 		else {
-			this.events.failed("server", response.status().code(), server.entry().id(), this.triedServers.size());
+			this.events.failed("server", response.status().code(), server.entry().id(), this.triedServers.size(),
+					connectionUse());
 		}
 		finish(success ? "served" : "server_error");
 		this.caller.forwardResponse(response);
@@ -422,7 +430,7 @@
 		long now = System.nanoTime();
 		endAttempt();
 		this.gateway.metrics().attemptFinished(failure.name());
-		this.events.attemptFailed(server, this.triedServers.size(), failure.name(), detail);
+		this.events.attemptFailed(server, this.triedServers.size(), failure.name(), connectionUse(), detail);
 		if (failure == ResponseListener.Failure.NOT_SENT) {
 			server.recordUnreachable(now);
 			this.events.ejected(server, detail);
@@ -544,7 +552,7 @@
 	}
 
 	private void fail(String reason, HttpResponseStatus status) {
-		this.events.failed(reason, status.code(), serverName(), this.triedServers.size());
+		this.events.failed(reason, status.code(), serverName(), this.triedServers.size(), connectionUse());
 		finish(reason);
 		this.caller.sendError(status, "may have run: " + reason, OptionalDouble.empty());
 	}
@@ -586,6 +594,10 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
 	}
 
+	private ConnectionUse connectionUse() {
+		return (this.call != null) ? this.call.use() : ConnectionUse.NONE;
+	}
+
 	private String routeName() {
 		return (this.route != null) ? this.route.name() : NONE;
 	}
@@ -610,7 +622,7 @@
 			Dialect.ServerResponse parsed = ProxiedRequest.this.gateway.dialect().response(response);
 			if (parsed.id().isPresent() && !parsed.id().get().equals(ProxiedRequest.this.callerRequest.id())) {
 				ProxiedRequest.this.events.attemptFailed(this.server, ProxiedRequest.this.triedServers.size(),
-						"foreign_answer", parsed.id().get());
+						"foreign_answer", connectionUse(), parsed.id().get());
 				return Disposition.UNRELATED;
 			}
 			if (!isTrusted(response, parsed)) {
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.masticlane.client.ConnectionUse;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.placement.Placement;
@@ -34,9 +35,10 @@
 		this.route = name;
 	}
 
-	void served(int status, int attempts, Placement.Choice choice) {
+	void served(int status, int attempts, Placement.Choice choice, ConnectionUse use) {
 		this.log.record(Event.REQUEST_SERVED, this.id, status, this.route, choice.server().entry().id(), attempts,
-				ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), this.planVersion);
+				ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), use.connection(), use.calls(),
+				use.repeated(), this.planVersion);
 	}
 
 	void refused(String reason, int status, String organisation, double expectedMillis, double latestMillis,
@@ -51,9 +53,9 @@
 				Math.round(retryAfterMillis), this.planVersion);
 	}
 
-	void failed(String reason, int status, String server, int attempts) {
+	void failed(String reason, int status, String server, int attempts, ConnectionUse use) {
 		this.log.record(Event.REQUEST_FAILED, this.id, reason, status, this.route, server, attempts, ageMillis(),
-				this.planVersion);
+				use.connection(), use.calls(), use.repeated(), this.planVersion);
 	}
 
 	void abandoned(CallerHandler.Disconnection reason, String server, boolean cancelled) {
@@ -68,8 +70,9 @@
 		this.log.record(Event.RESPONSE_UNCONFIRMED, this.id, reason, this.route, ageMillis());
 	}
 
-	void attemptFailed(ServerState server, int attempts, String failure, String detail) {
-		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(), detail);
+	void attemptFailed(ServerState server, int attempts, String failure, ConnectionUse use, String detail) {
+		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(),
+				use.connection(), use.calls(), use.repeated(), detail);
 	}
 
 	void ejected(ServerState server, String reason) {
--- a/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
@@ -35,7 +35,8 @@
 		this.memory = new MessageMemory(MEMORY_BYTES);
 		this.expecting = true;
 		this.channel = new EmbeddedChannel(new HttpResponseDecoder(),
-				new ResponseAggregator(this.memory, () -> this.expecting));
+				new ResponseAggregator(this.memory, () -> this.expecting, (data) -> {
+				}));
 	}
 
 	@Test
