Replace the connection that an identifier rules out

A caller that sends one identifier again and again would have left one idle connection to the server for each of its requests: 20 requests, 20 connections open after 8 s. At the limit of a server's connections others would have been refused. An idle connection that cannot carry the identifier is now closed when a new one is opened for it. CopiedResponseTests#repeatsOfAnIdentifierOccupyNoMoreConnectionsThanOtherRequests failed before.

--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -99,16 +99,25 @@
 		Destination destination = new Destination(address, request.method().equals(HttpMethod.HEAD));
 		Optional<ClientCall.Handler> pooled = identifier
 			.flatMap((sent) -> acquire(destination, sent, TimeUnit.MILLISECONDS.toNanos(maximumIdleMillis)));
-		boolean repeated = identifier.filter((sent) -> hasCarried(destination, sent)).isPresent();
+		Optional<ClientCall.Handler> carrier = identifier.flatMap((sent) -> findCarrier(destination, sent));
 		if (pooled.isPresent()) {
-			pooled.get().send(call, request, identifier, repeated);
+			pooled.get().send(call, request, identifier, carrier.isPresent());
 			return call;
 		}
+		// The new connection replaces one that the identifier rules out. Otherwise a
+		// caller could open any number by sending one identifier again and again.
+		carrier.ifPresent((replaced) -> {
+			this.idle.get(destination).remove(replaced);
+			replaced.close();
+		});
 		ChannelFuture connectFuture = connect(destination);
 		call.connectStarted(connectFuture.channel());
 		connectFuture.addListener((ChannelFuture connected) -> {
 			if (connected.isSuccess()) {
-				connected.channel().pipeline().get(ClientCall.Handler.class).send(call, request, identifier, repeated);
+				connected.channel()
+					.pipeline()
+					.get(ClientCall.Handler.class)
+					.send(call, request, identifier, carrier.isPresent());
 			}
 			else {
 				request.release();
@@ -196,10 +205,11 @@
 		return acquired;
 	}
 
-	private boolean hasCarried(Destination destination, String identifier) {
+	private Optional<ClientCall.Handler> findCarrier(Destination destination, String identifier) {
 		return this.idle.getOrDefault(destination, new ArrayDeque<>())
 			.stream()
-			.anyMatch((each) -> each.hasCarried(identifier));
+			.filter((each) -> each.hasCarried(identifier))
+			.findFirst();
 	}
 
 	private void release(Destination destination, ClientCall.Handler handler) {
