--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -415,7 +415,7 @@
 			return;
 		}
 		if (success) {
-			if (this.gateway.sampleServed()) {
+			if (this.gateway.sampleServed() || connectionUse().repeated()) {
 				this.events.served(response.status().code(), this.triedServers.size(), this.choice, connectionUse());
 			}
 		}
