Count repeated identifiers also where a new connection is opened

What was seen, in a test: masticlane_gateway_repeated_identifiers_total stays 0 while requests repeat an identifier, unless another idle connection happens to be left. Cause: the gateway reads the use of a call right after it starts it, and a call that connects has no use yet. Fix: a call knows from its start whether it passed over a connection.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -74,14 +74,15 @@
 
 	/**
 	 * Returns how the call uses its connection.
-	 * @return the use, or {@link ConnectionUse#NONE} before the call has a connection
+	 * @return the use, without a connection while the call connects
 	 */
 	public ConnectionUse use() {
 		return this.use;
 	}
 
-	void connectStarted(Channel started) {
+	void connectStarted(Channel started, boolean repeated) {
 		this.channel = started;
+		this.use = new ConnectionUse(0, 0, repeated);
 	}
 
 	void fail(ResponseListener.Failure failure, String detail) {
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -111,7 +111,7 @@
 			replaced.close();
 		});
 		ChannelFuture connectFuture = connect(destination);
-		call.connectStarted(connectFuture.channel());
+		call.connectStarted(connectFuture.channel(), carrier.isPresent());
 		connectFuture.addListener((ChannelFuture connected) -> {
 			if (connected.isSuccess()) {
 				connected.channel()
