Fail a request at once whose server changes the protocol

What callers saw, in a test: a request whose server answers 101 waits for its timeout, 2.5 s, and then gets 504. The decoder reads nothing behind a 101, so that the real response is never seen. No forwarded request asks for another protocol: such a response is malformed. CopiedResponseTests#aChangeOfTheProtocolFailsTheRequestAtOnce failed before (time-out of 1.5 s).

--- a/masticlane/src/main/java/io/masticlane/client/ResponseAggregator.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseAggregator.java
@@ -113,6 +113,11 @@
 			fail(new CorruptedFrameException("a status line within a head"));
 			return;
 		}
+		if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			// No request asks for it, and the decoder reads nothing behind it.
+			fail(new CorruptedFrameException("a change of the protocol"));
+			return;
+		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.state = State.INTERIM;
 			if (++this.interimResponses > MAXIMUM_INTERIM_RESPONSES) {
