Complete failed connection attempts on the event loop

By reading, without a test that failed: when a connection cannot be created at all, for lack of a descriptor, Netty completes the future on another thread. The request's state, and with it whether it may have run, would be read and written by two threads. The completion now runs on the pool's event loop.

--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -112,18 +112,10 @@
 		});
 		ChannelFuture connectFuture = connect(destination);
 		call.connectStarted(connectFuture.channel(), carrier.isPresent());
-		connectFuture.addListener((ChannelFuture connected) -> {
-			if (connected.isSuccess()) {
-				connected.channel()
-					.pipeline()
-					.get(ClientCall.Handler.class)
-					.send(call, request, identifier, carrier.isPresent());
-			}
-			else {
-				request.release();
-				call.fail(ResponseListener.Failure.NOT_SENT, String.valueOf(connected.cause()));
-			}
-		});
+		// A future that fails without a channel, for lack of a descriptor, completes on
+		// another thread.
+		connectFuture.addListener((ChannelFuture connected) -> runOnLoop(
+				() -> connectCompleted(connected, call, request, identifier, carrier.isPresent())));
 		return call;
 	}
 
@@ -176,6 +168,26 @@
 			.connect(destination.address());
 	}
 
+	private void connectCompleted(ChannelFuture connected, ClientCall call, FullHttpRequest request,
+			Optional<String> identifier, boolean repeated) {
+		if (connected.isSuccess()) {
+			connected.channel().pipeline().get(ClientCall.Handler.class).send(call, request, identifier, repeated);
+		}
+		else {
+			request.release();
+			call.fail(ResponseListener.Failure.NOT_SENT, String.valueOf(connected.cause()));
+		}
+	}
+
+	private void runOnLoop(Runnable task) {
+		if (this.loop.inEventLoop()) {
+			task.run();
+		}
+		else {
+			this.loop.execute(task);
+		}
+	}
+
 	private void initialize(SocketChannel channel, Destination destination) {
 		ClientCall.Handler handler = new ClientCall.Handler(++this.connections, destination.head(),
 				(released) -> release(destination, released),
