Drop the check for responses to requests from health checks

The branch that kept waiting after a response with an identifier can't be reached by a copy any more; the check that the response names the server itself stays, since another server may have the address. Evidence: ColdServerTests, which copies the responses to requests and to health checks, passes.

--- a/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
@@ -34,8 +34,6 @@
 	 */
 	private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	private static final long MAXIMUM_IDLE_MILLIS = 1_500;
-
 	private final GatewayContext gateway;
 
 	private final ViewFreshness freshness;
@@ -108,7 +106,7 @@
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
 			request.headers().set(HttpHeaderNames.HOST, this.server.entry().address().getHostString());
 			this.call = HealthChecks.this.gateway.connections()
-				.call(this.server.entry().address(), request, Optional.empty(), MAXIMUM_IDLE_MILLIS, this);
+				.call(this.server.entry().address(), request, Optional.empty(), 0, this);
 		}
 
 		private boolean cancelIfOverdue(long now) {
@@ -124,10 +122,6 @@
 		public Disposition responseReceived(FullHttpResponse response) {
 			Dialect dialect = HealthChecks.this.gateway.dialect();
 			Dialect.ServerResponse parsed = dialect.response(response);
-			if (parsed.id().isPresent()) {
-				// A second response to an earlier request on this connection.
-				return Disposition.UNRELATED;
-			}
 			HealthChecks.this.pending.remove(this.server);
 			Optional<Dialect.ServerHealth> health = dialect.health(response)
 				.filter((each) -> each.serverId().equals(this.server.entry().id()));
