Take the response to a request without a usable identifier from its own connection

What callers saw: of two requests in a row without an identifier, or with an empty one, the second got the response to the first where the server writes it again and names no request. A request with two different identifiers, which is forwarded as it came, ended with 504 if the server repeats the second one, as the gateway expected the first. Cause: the connection was shared, which mends; of two identifiers the gateway took the first, though its server may repeat either. Fix: a request with several identifiers counts as one without, so it has a connection of its own, on which the response is its own, whichever identifier it bears. A success must be signed as before.

--- a/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
@@ -102,7 +102,8 @@
 	/**
 	 * The values in the headers of a request.
 	 *
-	 * @param id the identifier of the attempt
+	 * @param id the identifier of the attempt, or an empty string if it has none or
+	 * several
 	 * @param object the affinity key of the request, if it has one
 	 * @param timeoutMillis how long the caller waits, in milliseconds
 	 * @param key the API key of the caller, if it sent one
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -339,7 +339,7 @@
 		this.attemptOpen = true;
 		this.call = this.gateway.connections()
 			.call(server.entry().address(), forwarded,
-					Optional.of(this.callerRequest.id()).filter((id) -> !id.isEmpty()),
+					Optional.of(this.callerRequest.id()).filter((id) -> isIdentified()),
 					this.route.idempotent() ? IDEMPOTENT_MAXIMUM_IDLE_MILLIS : NON_IDEMPOTENT_MAXIMUM_IDLE_MILLIS,
 					new Attempt(server));
 		if (this.call.use().repeated()) {
@@ -595,6 +595,15 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
 	}
 
+	/**
+	 * Returns whether responses name the request. One without an identifier has a
+	 * connection of its own, on which any response is its own.
+	 * @return whether the request has an identifier
+	 */
+	private boolean isIdentified() {
+		return !this.callerRequest.id().isEmpty();
+	}
+
 	private ConnectionUse connectionUse() {
 		return (this.call != null) ? this.call.use() : ConnectionUse.NONE;
 	}
@@ -621,7 +630,8 @@
 		@Override
 		public Disposition responseReceived(FullHttpResponse response) {
 			Dialect.ServerResponse parsed = ProxiedRequest.this.gateway.dialect().response(response);
-			if (parsed.id().isPresent() && !parsed.id().get().equals(ProxiedRequest.this.callerRequest.id())) {
+			if (isIdentified() && parsed.id().isPresent()
+					&& !parsed.id().get().equals(ProxiedRequest.this.callerRequest.id())) {
 				ProxiedRequest.this.events.attemptFailed(this.server, ProxiedRequest.this.triedServers.size(),
 						"foreign_answer", connectionUse(), parsed.id().get());
 				return Disposition.UNRELATED;
@@ -648,7 +658,7 @@
 				return parsed.id().isPresent() || !ProxiedRequest.this.call.isOnReusedConnection();
 			}
 			boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-			return !parsed.encoded() && parsed.id().isPresent() && (parsed.signed() || !success);
+			return !parsed.encoded() && (parsed.id().isPresent() || !isIdentified()) && (parsed.signed() || !success);
 		}
 
 		@Override
