Pass on the refusal of a request without an identifier instead of "come back later"

Cause: a refusal counted as the server's lack of room, whatever its status: the request went on to other servers, at the cost of the budget for retries, and the failure was held against each of them. Fix: the 400 of a server to a request without an identifier goes to the caller as it is. Evidence: aRequestThatIsRefusedForWantOfAnIdentifierIsNotInvitedToReturn: 503 in place of 400 before; now it passes, with the rest of CopiedResponseTests. Not shown: that such failures eject a server; with 30 of them in a row other requests were still served.

--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -367,17 +367,21 @@
 		this.gateway.announcements().record(server, parsed, this.callerRequest.id(), now);
 		if (parsed.notRun()) {
 			boolean misdirected = response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+			boolean unidentified = !isIdentified() && response.status().equals(HttpResponseStatus.BAD_REQUEST);
 			if (misdirected) {
 				server.recordLost(now);
 				this.events.ejected(server, "another server has its address");
 			}
-			else if (!atCapacity) {
+			else if (!atCapacity && !unidentified) {
 				server.recordResponse(this.placementRequest.object(), false, this.sentAt, now);
 			}
 			this.events.attemptFailed(server, this.triedServers.size(), "not_run", connectionUse(),
 					response.status().toString());
 			this.gateway.metrics().attemptFinished("not_run");
-			if (!this.finished) {
+			if (!this.finished && unidentified) {
+				deliver(server, response, false);
+			}
+			else if (!this.finished) {
 				retryElsewhere("shed",
 						misdirected || this.gateway.retryAllowance(this.placementRequest.service()).tryAcquire());
 			}
