Use a connection for one call of the store, and open the next one ahead

Cause: responses of the store name no call, and KeyValueStore reused connections with a counter as identifier, which the response doesn't repeat. The copy of a response was taken for the next call's. Fix: the calls have no identifier, so each uses a connection that has carried none, and the only response that can come on it is its own. ConnectionPool#prepare opens the next one ahead; without it each call takes a round trip more and fails if the first packet of its connection is lost.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -134,7 +134,7 @@
 
 		private boolean reusable;
 
-		private long idleSince;
+		private long idleSince = System.nanoTime();
 
 		private long idleTimeoutNanos = Long.MAX_VALUE;
 
@@ -174,6 +174,10 @@
 			return this.sentIdentifiers.contains(identifier);
 		}
 
+		boolean isUnused() {
+			return this.lastUse.calls() == 0 && this.context.channel().isActive();
+		}
+
 		/**
 		 * Sends a request.
 		 * @param started the call
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -4,9 +4,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -30,7 +32,7 @@
  * The pool of connections from one event loop to other processes. A connection is used
  * for one call at a time and is reused only after a complete response to its call. The
  * other end may write a response more than once, so a connection carries an identifier
- * once, and a call without one has a connection of its own.
+ * once, and a call without one has a connection of its own, which may be opened ahead.
  */
 public final class ConnectionPool {
 
@@ -58,6 +60,8 @@
 
 	private final Map<Destination, Deque<ClientCall.Handler>> idle = new HashMap<>();
 
+	private final Set<Destination> preparing = new HashSet<>();
+
 	private final ChannelGroup open;
 
 	private final UnexpectedDataListener unexpectedDataListener;
@@ -88,8 +92,7 @@
 	 * @param request the request, which is released
 	 * @param identifier the identifier of the request that its response repeats; without
 	 * one, the call has a connection of its own
-	 * @param maximumIdleMillis the maximum idle time of a reused connection, in
-	 * milliseconds
+	 * @param maximumIdleMillis the maximum idle time of the connection, in milliseconds
 	 * @param listener receives the result of the call
 	 * @return the call
 	 */
@@ -97,8 +100,8 @@
 			long maximumIdleMillis, ResponseListener listener) {
 		ClientCall call = new ClientCall(listener);
 		Destination destination = new Destination(address, request.method().equals(HttpMethod.HEAD));
-		Optional<ClientCall.Handler> pooled = identifier
-			.flatMap((sent) -> acquire(destination, sent, TimeUnit.MILLISECONDS.toNanos(maximumIdleMillis)));
+		Optional<ClientCall.Handler> pooled = acquire(destination, identifier,
+				TimeUnit.MILLISECONDS.toNanos(maximumIdleMillis));
 		boolean repeated = identifier.filter((sent) -> hasCarried(destination, sent)).isPresent();
 		if (pooled.isPresent()) {
 			pooled.get().send(call, request, identifier, repeated);
@@ -118,6 +121,28 @@
 		return call;
 	}
 
+	/**
+	 * Opens a connection ahead of the next call without an identifier, which then takes
+	 * no round trip to connect. Does nothing if there is such a connection already.
+	 * @param address the address of the other end
+	 */
+	public void prepare(InetSocketAddress address) {
+		closeExpired();
+		Destination destination = new Destination(address, false);
+		boolean prepared = this.idle.getOrDefault(destination, new ArrayDeque<>())
+			.stream()
+			.anyMatch(ClientCall.Handler::isUnused);
+		if (prepared || !this.preparing.add(destination)) {
+			return;
+		}
+		connect(destination).addListener((ChannelFuture connected) -> {
+			this.preparing.remove(destination);
+			if (connected.isSuccess()) {
+				release(destination, connected.channel().pipeline().get(ClientCall.Handler.class));
+			}
+		});
+	}
+
 	/**
 	 * Closes the connections that exceeded the maximum idle time.
 	 */
@@ -178,19 +203,21 @@
 	}
 
 	/**
-	 * Takes the newest idle connection that has not carried an identifier.
+	 * Takes the newest idle connection that has not carried an identifier, or that has
+	 * carried no call if there is no identifier.
 	 * @param destination the destination of the call
-	 * @param identifier the identifier of the call
+	 * @param identifier the identifier of the call, if it has one
 	 * @param maximumIdleNanos the maximum idle time of the connection, in nanoseconds
 	 * @return the connection, if there is one
 	 */
-	private Optional<ClientCall.Handler> acquire(Destination destination, String identifier, long maximumIdleNanos) {
+	private Optional<ClientCall.Handler> acquire(Destination destination, Optional<String> identifier,
+			long maximumIdleNanos) {
 		Deque<ClientCall.Handler> handlers = this.idle.getOrDefault(destination, new ArrayDeque<>());
 		long now = System.nanoTime();
 		handlers.removeIf((each) -> each.closeIfUnusable(now));
 		Optional<ClientCall.Handler> acquired = handlers.stream()
 			.takeWhile((each) -> now - each.idleSince() < maximumIdleNanos)
-			.filter((each) -> !each.hasCarried(identifier))
+			.filter((each) -> identifier.map((sent) -> !each.hasCarried(sent)).orElseGet(each::isUnused))
 			.findFirst();
 		acquired.ifPresent(handlers::remove);
 		return acquired;
