Try each length of a cut copy before a response

The cases of CopiedResponseTests choose some cuts; this one tries all of them, in front of a response with another status, at the decoder.

--- a/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
@@ -78,6 +78,25 @@
 		assertEquals(this.memory.usedBytes(), 0);
 	}
 
+	/**
+	 * Guards against the status of a copy that is cut off within its head, before a
+	 * response whose header names the request.
+	 */
+	@Test
+	public void theBeginningOfACopyDoesNotChangeTheStatusOfTheResponseBehindIt() {
+		String copy = "HTTP/1.1 200 OK\r\nDate: Sun, 06 Nov 1994 08:49:37 GMT\r\nRequest-Id: earlier\r\n"
+				+ "Content-Length: 4\r\n\r\nbody";
+		for (int bytes = 1; bytes < copy.length(); bytes++) {
+			createChannel();
+			read(copy.substring(0, bytes) + "HTTP/1.1 404 Not Found\r\nRequest-Id: own\r\nContent-Length: 0\r\n\r\n");
+			FullHttpResponse response = this.channel.readInbound();
+			assertFalse(
+					response != null && response.decoderResult().isSuccess() && response.status().code() == 200
+							&& response.headers().get("Request-Id").equals("own"),
+					"behind " + bytes + " bytes of the copy: " + response);
+		}
+	}
+
 	@Test
 	public void bytesOnAnIdleConnectionCloseItAtTheHead() {
 		this.expecting = false;
