Verify the heads of responses in the decoder, so that both pools do

The check for two heads read as one, and for a change of the protocol, stood in the aggregator of the gateway's pool alone. The decoder, which the pool of the older stack uses as well, marks such heads as malformed. ResponseAggregatorTests uses the product's decoder in place of Netty's; its assertions are unchanged.

--- a/masticlane/src/main/java/io/masticlane/client/ResponseAggregator.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseAggregator.java
@@ -1,16 +1,12 @@
 package io.masticlane.client;
 
-import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 import io.masticlane.memory.MessageBody;
 import io.masticlane.memory.MessageMemory;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -45,8 +41,6 @@
 
 	private static final int MINIMUM_MEAN_PIECE_BYTES = 16;
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
-
 	private final MessageMemory memory;
 
 	private final BooleanSupplier expecting;
@@ -109,15 +103,6 @@
 	}
 
 	private void start(HttpResponse response) {
-		if (containsStatusLine(response)) {
-			fail(new CorruptedFrameException("a status line within a head"));
-			return;
-		}
-		if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-			// No request asks for it, and the decoder reads nothing behind it.
-			fail(new CorruptedFrameException("a change of the protocol"));
-			return;
-		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.state = State.INTERIM;
 			if (++this.interimResponses > MAXIMUM_INTERIM_RESPONSES) {
@@ -134,19 +119,6 @@
 		}
 	}
 
-	/**
-	 * Returns whether the head of a response contains a status line. The beginning of
-	 * another response was then received before the response.
-	 * @param response the response
-	 * @return whether the head is that of two responses
-	 */
-	private static boolean containsStatusLine(HttpResponse response) {
-		return Stream
-			.concat(Stream.of(response.status().reasonPhrase()),
-					response.headers().entries().stream().map(Map.Entry::getValue))
-			.anyMatch((text) -> STATUS_LINE.matcher(text).find());
-	}
-
 	private void append(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.state == State.INTERIM) {
--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -1,12 +1,20 @@
 package io.masticlane.client;
 
+import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -22,6 +30,8 @@
 
 	private static final int MAXIMUM_CHUNK_BYTES = 16 * 1024;
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
 	private final boolean withoutBody;
 
 	private final BooleanSupplier expecting;
@@ -61,6 +71,38 @@
 		return actualReadableBytes() > 0;
 	}
 
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf data, List<Object> messages) throws Exception {
+		int decoded = messages.size();
+		super.decode(context, data, messages);
+		messages.stream()
+			.skip(decoded)
+			.filter(HttpResponse.class::isInstance)
+			.map(HttpResponse.class::cast)
+			.forEach(ResponseDecoder::verify);
+	}
+
+	/**
+	 * Marks a head as malformed that is not that of one response to one request.
+	 * @param head the head of a response
+	 */
+	private static void verify(HttpResponse head) {
+		if (containsStatusLine(head)) {
+			// The beginning of another response was received before this one.
+			head.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("a status line within a head")));
+		}
+		else if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			// No request asks for it, and nothing behind it is decoded.
+			head.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("a change of the protocol")));
+		}
+	}
+
+	private static boolean containsStatusLine(HttpResponse head) {
+		return Stream
+			.concat(Stream.of(head.status().reasonPhrase()), head.headers().entries().stream().map(Map.Entry::getValue))
+			.anyMatch((text) -> STATUS_LINE.matcher(text).find());
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.withoutBody || super.isContentAlwaysEmpty(message);
--- a/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseAggregatorTests.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -34,8 +33,8 @@
 	public void createChannel() {
 		this.memory = new MessageMemory(MEMORY_BYTES);
 		this.expecting = true;
-		this.channel = new EmbeddedChannel(new HttpResponseDecoder(),
-				new ResponseAggregator(this.memory, () -> this.expecting));
+		this.channel = new EmbeddedChannel(new ResponseDecoder(false, () -> true, (data) -> {
+		}), new ResponseAggregator(this.memory, () -> this.expecting));
 	}
 
 	@Test
