Drop the report of a response to another request

Callers saw refusals and time-outs for want of servers: a response that names another attempt was not forwarded, but its Backend-Load and Backend-State had counted before the identifier was compared. A late copy could so end all new work at a server that no longer leaves.

The identifier is compared first now.

--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -361,15 +361,16 @@
 			if (!isCurrent()) {
 				return;
 			}
-			submitReport(this.server.name(), head);
-			this.responseReceived = true;
-			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
 			if (!head.headers().get(Headers.REQUEST_ID, this.requestId).equals(this.requestId)) {
 				cancelAttempt();
 				endAttempt(AttemptResult.LOST);
+				return;
 			}
-			else if (!this.shed) {
+			submitReport(this.server.name(), head);
+			this.responseReceived = true;
+			this.shed = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+					&& Outcome.NOT_RUN.text().equals(head.headers().get(Headers.OUTCOME));
+			if (!this.shed) {
 				Exchange.this.responseStarted = true;
 				Headers.removeHopByHop(head.headers());
 				this.recorder.recordHead(head);
--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -67,12 +67,13 @@
 	},
 
 	/**
-	 * Sends a response with the request identifier of a different request.
+	 * Sends a response with the request identifier of a different request, which reports
+	 * that the server is leaving.
 	 */
 	CROSSED {
 		@Override
 		void write(ChannelHandlerContext context, FullHttpResponse response) {
-			response.headers().set("Masticlane-Request-Id", "another");
+			response.headers().set(REQUEST_ID, "another").set("Backend-State", "leaving");
 			context.writeAndFlush(response);
 		}
 	},
@@ -154,6 +155,8 @@
 		}
 	};
 
+	private static final String REQUEST_ID = "Masticlane-Request-Id";
+
 	private static final int LARGE_BODY_BYTES = 100_000;
 
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
