Take a response without identifier only on a new connection

Callers got the answer to another request, and an operation ran twice: a backend server that writes a response a second time may leave the identifier out, as it need not echo it, and such a copy was taken for the next request on the connection. A copied success was forwarded; a copied refusal (503, not-run) let the operation run a second time.

A response that does not name its attempt is now certain only on the first request of a connection. After it the connection is closed, and on a reused connection the attempt counts as lost: an idempotent request is tried again on a new connection, an operation is refused as unknown. A response with several identifiers counts as one to another request.

On the code before, the three tests of RepeatedResponseTests named after copies failed: the body of the copied response where the next one was due, for a GET and for a POST, and two runs of the operation instead of one ("line 57", assertEquals of the runs). They pass now, with BackendHandlerTests and BackendConnectionsTests, in

mvn -o verify -pl platform,masticlane -am \ -Dtest=RepeatedResponseTests,BackendHandlerTests,BackendConnectionsTests

--- a/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -46,8 +46,8 @@
 		if (message instanceof HttpResponse head) {
 			this.informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 			if (!this.informational) {
-				this.reusable = HttpUtil.isKeepAlive(head);
-				this.receiver.headReceived(head);
+				boolean keepAlive = HttpUtil.isKeepAlive(head);
+				this.reusable = this.receiver.headReceived(head) && keepAlive;
 			}
 		}
 		if (message instanceof HttpContent content) {
--- a/masticlane/src/main/java/io/masticlane/backend/ResponseReceiver.java
+++ b/masticlane/src/main/java/io/masticlane/backend/ResponseReceiver.java
@@ -22,8 +22,10 @@
 	/**
 	 * Called when the status line and headers of the response were received.
 	 * @param head the head of the response
+	 * @return whether the response names this request. If not, the connection carries no
+	 * other request, since its next response could be another one to this request.
 	 */
-	void headReceived(HttpResponse head);
+	boolean headReceived(HttpResponse head);
 
 	/**
 	 * Called for each part of the response body, including the last. The receiver
--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -1,5 +1,6 @@
 package io.masticlane.caller;
 
+import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -333,6 +334,8 @@
 
 		private Channel connection;
 
+		private boolean connectionReused;
+
 		private boolean responseReceived;
 
 		private boolean shed;
@@ -349,6 +352,7 @@
 				return false;
 			}
 			this.connection = connection;
+			this.connectionReused = reused;
 			if (reused && Exchange.this.isIdempotent() && remainingNanos() > 2 * FIRST_BYTE_TIMEOUT_NANOS) {
 				Exchange.this.context.executor()
 					.schedule(this::firstByteTimedOut, FIRST_BYTE_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
@@ -357,14 +361,18 @@
 		}
 
 		@Override
-		public void headReceived(HttpResponse head) {
+		public boolean headReceived(HttpResponse head) {
 			if (!isCurrent()) {
-				return;
+				return false;
 			}
-			if (!head.headers().get(Headers.REQUEST_ID, this.requestId).equals(this.requestId)) {
+			List<String> named = head.headers().getAll(Headers.REQUEST_ID);
+			boolean namesAttempt = named.equals(List.of(this.requestId));
+			// An unnamed response on a reused connection may be one to an earlier
+			// request.
+			if (!namesAttempt && (this.connectionReused || !named.isEmpty())) {
 				cancelAttempt();
 				endAttempt(AttemptResult.LOST);
-				return;
+				return false;
 			}
 			submitReport(this.server.name(), head);
 			this.responseReceived = true;
@@ -377,6 +385,7 @@
 				this.closeDelimited = Responses.frame(head, Exchange.this.request, Exchange.this.keepAlive);
 				Exchange.this.context.write(head);
 			}
+			return namesAttempt;
 		}
 
 		@Override
--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -151,7 +152,35 @@
 		@Override
 		void write(ChannelHandlerContext context, FullHttpResponse response) {
 			response.release();
-			context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NO_CONTENT));
+			FullHttpResponse empty = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NO_CONTENT);
+			empty.headers().set(REQUEST_ID, response.headers().get(REQUEST_ID, ""));
+			context.writeAndFlush(empty);
+		}
+	},
+
+	/**
+	 * Sends a complete response, and a copy without the identifier when the next request
+	 * is received on the connection.
+	 */
+	REPEATED {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			writeAheadOfNextResponse(context, response.copy());
+			context.writeAndFlush(response);
+		}
+	},
+
+	/**
+	 * Sends a complete response, and the copy of an earlier refusal without its
+	 * identifier when the next request is received on the connection.
+	 */
+	REFUSED_BEFORE {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			FullHttpResponse refusal = response.copy().setStatus(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			refusal.headers().set("Request-Outcome", "not-run");
+			writeAheadOfNextResponse(context, refusal);
+			context.writeAndFlush(response);
 		}
 	};
 
@@ -185,6 +214,18 @@
 			.orElse(PROMPT);
 	}
 
+	private static void writeAheadOfNextResponse(ChannelHandlerContext context, FullHttpResponse copy) {
+		copy.headers().remove(REQUEST_ID);
+		context.pipeline().addBefore(context.name(), null, new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext read, Object message) {
+				read.writeAndFlush(copy);
+				read.fireChannelRead(message);
+				read.pipeline().remove(this);
+			}
+		});
+	}
+
 	private static void writeHead(ChannelHandlerContext context, FullHttpResponse response, String name, String value) {
 		HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), response.headers());
 		head.headers().remove(HttpHeaderNames.CONTENT_LENGTH).set(name, value);
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -73,8 +73,9 @@
 		}
 
 		@Override
-		public void headReceived(HttpResponse head) {
+		public boolean headReceived(HttpResponse head) {
 			this.events.add("head");
+			return true;
 		}
 
 		@Override
