Frame all responses on a connection to a backend server alike

The codec decided by a queue of its own requests whether a response has a body. A copy of the response to a HEAD request that came when a GET was due took the entry of the GET: it was framed with a body, which was the beginning of the real response. And bytes that came on an idle connection were kept until its next request, which was lost with them.

HEAD requests have connections of their own now, and ResponseDecoder, as in the gateway's pool, frames by the connection and closes it when data comes that no request awaits.

On the code before, BackendConnectionsTests failed: a GET was "reused 200 ok" over the connection of a HEAD, and the request after bytes on an idle connection was "reused LOST" where "new 200 ok" was expected. Interim responses before the final one were framed well before too; their test guards it.

--- a/masticlane/src/main/java/io/masticlane/backend/BackendConnections.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendConnections.java
@@ -5,7 +5,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.masticlane.configuration.BackendServer;
 import io.masticlane.steering.AttemptResult;
@@ -18,12 +20,14 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * The connection pool of one event loop to the backend servers. A connection carries one
- * request at a time, is reused only after a complete response, and is closed once it has
- * been idle for {@link #MAXIMUM_IDLE_NANOS}.
+ * request at a time, is reused only after a complete response that names its request, and
+ * is closed once it has been idle for {@link #MAXIMUM_IDLE_NANOS} or receives data that
+ * no request awaits.
  */
 public final class BackendConnections {
 
@@ -40,7 +44,7 @@
 
 	private final EventLoop loop;
 
-	private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
+	private final Map<Destination, Deque<IdleConnection>> idle = new HashMap<>();
 
 	/**
 	 * Creates a new pool.
@@ -61,12 +65,13 @@
 	 * @param receiver the receiver of the response
 	 */
 	public void send(BackendServer server, FullHttpRequest request, long maximumIdleNanos, ResponseReceiver receiver) {
-		Channel pooled = pollIdle(server.address(), maximumIdleNanos);
+		Destination destination = new Destination(server.address(), request.method().equals(HttpMethod.HEAD));
+		Channel pooled = pollIdle(destination, maximumIdleNanos);
 		if (pooled != null) {
 			write(pooled, true, request, receiver);
 			return;
 		}
-		connect(server).addListener((ChannelFuture connectFuture) -> {
+		connect(destination).addListener((ChannelFuture connectFuture) -> {
 			if (connectFuture.isSuccess()) {
 				write(connectFuture.channel(), false, request, receiver);
 			}
@@ -83,10 +88,11 @@
 	 * @param server the backend server
 	 */
 	public void discardIdle(BackendServer server) {
-		Deque<IdleConnection> connections = this.idle.remove(server.address());
-		if (connections != null) {
-			connections.forEach((each) -> each.channel().close());
-		}
+		Stream.of(true, false)
+			.map((head) -> this.idle.remove(new Destination(server.address(), head)))
+			.filter(Objects::nonNull)
+			.flatMap(Deque::stream)
+			.forEach((each) -> each.channel().close());
 	}
 
 	private void evictExpired() {
@@ -99,9 +105,9 @@
 		this.idle.values().removeIf(Deque::isEmpty);
 	}
 
-	private Channel pollIdle(String address, long maximumIdleNanos) {
+	private Channel pollIdle(Destination destination, long maximumIdleNanos) {
 		long now = System.nanoTime();
-		Deque<IdleConnection> connections = this.idle.getOrDefault(address, new ArrayDeque<>());
+		Deque<IdleConnection> connections = this.idle.getOrDefault(destination, new ArrayDeque<>());
 		IdleConnection candidate = connections.peekFirst();
 		while (candidate != null && now - candidate.idleSince() < maximumIdleNanos) {
 			connections.pollFirst();
@@ -113,8 +119,8 @@
 		return null;
 	}
 
-	private ChannelFuture connect(BackendServer server) {
-		String address = server.address();
+	private ChannelFuture connect(Destination destination) {
+		String address = destination.address();
 		int colon = address.lastIndexOf(':');
 		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -123,9 +129,9 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(),
-								new BackendHandler((reusable) -> returnToPool(address, reusable)));
+					BackendHandler handler = new BackendHandler(destination.head(),
+							(reusable) -> returnToPool(destination, reusable));
+					channel.pipeline().addLast(new HttpRequestEncoder(), handler.decoder(), handler);
 				}
 			})
 			.connect(
@@ -138,12 +144,11 @@
 			channel.close();
 			return;
 		}
-		channel.pipeline().get(BackendHandler.class).expectResponse(receiver);
-		channel.writeAndFlush(request);
+		channel.pipeline().get(BackendHandler.class).send(request, receiver);
 	}
 
-	private void returnToPool(String address, Channel channel) {
-		Deque<IdleConnection> connections = this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>());
+	private void returnToPool(Destination destination, Channel channel) {
+		Deque<IdleConnection> connections = this.idle.computeIfAbsent(destination, (key) -> new ArrayDeque<>());
 		if (channel.isActive() && connections.size() < MAXIMUM_IDLE_CONNECTIONS_PER_SERVER) {
 			connections.addFirst(new IdleConnection(channel, System.nanoTime()));
 		}
@@ -152,6 +157,13 @@
 		}
 	}
 
+	/**
+	 * Where requests go. Responses to HEAD requests have no body, and those to other
+	 * requests may have one, so they have connections of their own.
+	 */
+	private record Destination(String address, boolean head) {
+	}
+
 	private record IdleConnection(Channel channel, long idleSince) {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -2,10 +2,12 @@
 
 import java.util.function.Consumer;
 
+import io.masticlane.client.ResponseDecoder;
 import io.masticlane.steering.AttemptResult;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -19,28 +21,50 @@
  */
 final class BackendHandler extends ChannelInboundHandlerAdapter {
 
+	private final ResponseDecoder decoder;
+
 	private final Consumer<Channel> returnToPool;
 
+	private ChannelHandlerContext context;
+
 	private ResponseReceiver receiver;
 
 	private boolean reusable;
 
 	private boolean informational;
 
-	BackendHandler(Consumer<Channel> returnToPool) {
+	/**
+	 * Creates a handler.
+	 * @param responsesWithoutBody whether all requests on the connection are HEAD
+	 * requests
+	 * @param returnToPool notified when the connection may carry another request
+	 */
+	BackendHandler(boolean responsesWithoutBody, Consumer<Channel> returnToPool) {
+		this.decoder = new ResponseDecoder(responsesWithoutBody, () -> this.receiver != null,
+				(data) -> this.context.close());
 		this.returnToPool = returnToPool;
 	}
 
-	void expectResponse(ResponseReceiver receiver) {
-		this.receiver = receiver;
+	@Override
+	public void handlerAdded(ChannelHandlerContext added) {
+		this.context = added;
+	}
+
+	ResponseDecoder decoder() {
+		return this.decoder;
+	}
+
+	void send(FullHttpRequest request, ResponseReceiver responseReceiver) {
+		this.receiver = responseReceiver;
 		this.reusable = false;
+		this.context.channel().writeAndFlush(request);
 	}
 
 	@Override
-	public void channelRead(ChannelHandlerContext context, Object message) {
+	public void channelRead(ChannelHandlerContext read, Object message) {
 		if (this.receiver == null || ((HttpObject) message).decoderResult().isFailure()) {
 			ReferenceCountUtil.release(message);
-			context.close();
+			read.close();
 			return;
 		}
 		if (message instanceof HttpResponse head) {
@@ -51,11 +75,11 @@
 			}
 		}
 		if (message instanceof HttpContent content) {
-			readContent(context, content);
+			readContent(content);
 		}
 	}
 
-	private void readContent(ChannelHandlerContext context, HttpContent content) {
+	private void readContent(HttpContent content) {
 		if (this.informational) {
 			content.release();
 			return;
@@ -63,25 +87,25 @@
 		ResponseReceiver current = this.receiver;
 		if (content instanceof LastHttpContent) {
 			this.receiver = null;
-			context.channel().config().setAutoRead(true);
+			this.context.channel().config().setAutoRead(true);
 			if (this.reusable) {
-				this.returnToPool.accept(context.channel());
+				this.returnToPool.accept(this.context.channel());
 			}
 			else {
-				context.close();
+				this.context.close();
 			}
 		}
 		current.contentReceived(content);
 	}
 
 	@Override
-	public void channelInactive(ChannelHandlerContext context) {
+	public void channelInactive(ChannelHandlerContext inactive) {
 		attemptLost();
 	}
 
 	@Override
-	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		context.close();
+	public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
+		caught.close();
 		attemptLost();
 	}
 
--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -14,7 +14,7 @@
  * request they are to, so that a response too many does not change the framing of those
  * after it.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+public final class ResponseDecoder extends HttpResponseDecoder {
 
 	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
@@ -36,7 +36,7 @@
 	 * @param unexpectedDataListener notified with a description of data that is received
 	 * while no call waits
 	 */
-	ResponseDecoder(boolean withoutBody, BooleanSupplier expecting, Consumer<String> unexpectedDataListener) {
+	public ResponseDecoder(boolean withoutBody, BooleanSupplier expecting, Consumer<String> unexpectedDataListener) {
 		super(MAXIMUM_LINE_BYTES, MAXIMUM_HEAD_BYTES, MAXIMUM_CHUNK_BYTES);
 		this.withoutBody = withoutBody;
 		this.expecting = expecting;
@@ -57,7 +57,7 @@
 	 * Returns whether data was received behind the message that is being handled.
 	 * @return whether there is such data
 	 */
-	boolean hasUndecodedData() {
+	public boolean hasUndecodedData() {
 		return actualReadableBytes() > 0;
 	}
 
--- a/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
@@ -37,6 +37,8 @@
 
 	private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+	private static final String RESPONSE_TO_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+
 	private final BlockingQueue<String> responses = new ArrayBlockingQueue<>(8);
 
 	private EventLoopGroup loops;
@@ -76,6 +78,27 @@
 		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
 	}
 
+	@Test
+	public void aCopiedResponseToAHeadRequestIsNeverFramedAsOneWithABody() throws Exception {
+		assertEquals(call(HttpMethod.HEAD, RESPONSE_TO_HEAD), "new 200 ");
+		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
+		assertEquals(call(HttpMethod.HEAD, RESPONSE_TO_HEAD), "reused 200 ");
+	}
+
+	@Test
+	public void anInterimResponseDoesNotChangeTheFramingOfTheFinalOne() throws Exception {
+		String interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+		assertEquals(call(HttpMethod.HEAD, interim + RESPONSE_TO_HEAD), "new 200 ");
+		assertEquals(call(HttpMethod.HEAD, interim + interim + RESPONSE_TO_HEAD), "reused 200 ");
+	}
+
+	@Test
+	public void aConnectionWithDataWhileItIsIdleIsNotReused() throws Exception {
+		assertEquals(call(HttpMethod.GET, RESPONSE + "|" + RESPONSE.substring(0, 20)), "new 200 ok");
+		TimeUnit.MILLISECONDS.sleep(200);
+		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
+	}
+
 	private String call(HttpMethod method, String response) throws InterruptedException {
 		this.responses.add(response);
 		Recorder recorder = new Recorder();
@@ -96,7 +119,10 @@
 			if (!line.isEmpty()) {
 				continue;
 			}
-			socket.getOutputStream().write(this.responses.take().getBytes(StandardCharsets.US_ASCII));
+			for (String part : this.responses.take().split("\\|")) {
+				socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
 		}
 	}
 
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -9,9 +9,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.testng.annotations.DataProvider;
@@ -45,9 +45,9 @@
 	}
 
 	private static List<String> received(String beginning, boolean reused) {
-		BackendHandler handler = new BackendHandler((channel) -> {
+		BackendHandler handler = new BackendHandler(false, (channel) -> {
 		});
-		EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), handler);
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), handler.decoder(), handler);
 		if (reused) {
 			exchange(channel, handler, new Recorder(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 		}
@@ -58,8 +58,7 @@
 	}
 
 	private static void exchange(EmbeddedChannel channel, BackendHandler handler, Recorder recorder, String response) {
-		handler.expectResponse(recorder);
-		channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/post/1"));
+		handler.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/post/1"), recorder);
 		channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
 	}
 
