Close a connection whose response was followed by data or came too early

Callers' requests were lost after a response with bytes behind it in the same read: the connection returned to the pool, and the bytes were read as the beginning of the next response. A response that came before its whole request was written left the connection in the pool too, with the rest of that request ahead of the next one.

Neither connection is reused now. On the code before, BackendConnectionsTests failed with "reused LOST" after data behind a response and "reused 200 ok" after a response that came while 32 MiB of its request were being written, where "new 200 ok" was expected.

--- a/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -5,6 +5,7 @@
 import io.masticlane.client.ResponseDecoder;
 import io.masticlane.steering.AttemptResult;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -29,6 +30,8 @@
 
 	private ResponseReceiver receiver;
 
+	private boolean requestWritten;
+
 	private boolean reusable;
 
 	private boolean informational;
@@ -57,7 +60,10 @@
 	void send(FullHttpRequest request, ResponseReceiver responseReceiver) {
 		this.receiver = responseReceiver;
 		this.reusable = false;
-		this.context.channel().writeAndFlush(request);
+		this.requestWritten = false;
+		this.context.channel()
+			.writeAndFlush(request)
+			.addListener((ChannelFuture done) -> this.requestWritten = done.isSuccess());
 	}
 
 	@Override
@@ -88,7 +94,7 @@
 		if (content instanceof LastHttpContent) {
 			this.receiver = null;
 			this.context.channel().config().setAutoRead(true);
-			if (this.reusable) {
+			if (this.reusable && this.requestWritten && !this.decoder.hasUndecodedData()) {
 				this.returnToPool.accept(this.context.channel());
 			}
 			else {
--- a/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
@@ -92,6 +92,12 @@
 		assertEquals(call(HttpMethod.HEAD, interim + interim + RESPONSE_TO_HEAD), "reused 200 ");
 	}
 
+	@Test
+	public void aConnectionWithDataBehindAResponseIsNotReused() throws Exception {
+		assertEquals(call(HttpMethod.GET, RESPONSE + RESPONSE.substring(0, 20)), "new 200 ok");
+		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
+	}
+
 	@Test
 	public void aConnectionWithDataWhileItIsIdleIsNotReused() throws Exception {
 		assertEquals(call(HttpMethod.GET, RESPONSE + "|" + RESPONSE.substring(0, 20)), "new 200 ok");
@@ -99,12 +105,23 @@
 		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
 	}
 
+	@Test
+	public void aConnectionIsNotReusedIfTheResponseCameBeforeTheEndOfTheRequest() throws Exception {
+		assertEquals(call(HttpMethod.POST, 32 * 1024 * 1024, RESPONSE), "new 200 ok");
+		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
+	}
+
 	private String call(HttpMethod method, String response) throws InterruptedException {
+		return call(method, 0, response);
+	}
+
+	private String call(HttpMethod method, int bodyBytes, String response) throws InterruptedException {
 		this.responses.add(response);
 		Recorder recorder = new Recorder();
 		this.loops.next().execute(() -> {
 			DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/ledger");
-			request.headers().set("Content-Length", 0);
+			request.content().writeZero(bodyBytes);
+			request.headers().set("Content-Length", bodyBytes);
 			BackendServer backendServer = BackendServer.of("ledger-1", "ledger", "west-1",
 					"127.0.0.1:" + this.server.getLocalPort(), 1);
 			this.connections.send(backendServer, request, BackendConnections.MAXIMUM_IDLE_NANOS, recorder);
