Resume reads after a response to a slow caller before pooling its connection

A connection returned to the pool before the last part of its response was passed on. If the caller could not take that part at once, the reads of the connection were suspended after that, while it was idle: the response to its next request, data that no request awaits and its end were not read.

The last part is passed on first now, then reads resume and the connection is released. On the code before, BackendHandlerTests failed in aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller ("expected [true] but found [false]"). It passes now, with 86 other tests of entry hosts, operations and connections; no test with a slow caller over sockets was run for it.

--- a/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -91,17 +91,25 @@
 			return;
 		}
 		ResponseReceiver current = this.receiver;
-		if (content instanceof LastHttpContent) {
+		boolean last = content instanceof LastHttpContent;
+		if (last) {
 			this.receiver = null;
-			this.context.channel().config().setAutoRead(true);
-			if (this.reusable && this.requestWritten && !this.decoder.hasUndecodedData()) {
-				this.returnToPool.accept(this.context.channel());
-			}
-			else {
-				this.context.close();
-			}
 		}
 		current.contentReceived(content);
+		if (last) {
+			responseCompleted();
+		}
+	}
+
+	private void responseCompleted() {
+		Channel connection = this.context.channel();
+		connection.config().setAutoRead(true);
+		if (this.reusable && this.requestWritten && !this.decoder.hasUndecodedData()) {
+			this.returnToPool.accept(connection);
+		}
+		else {
+			connection.close();
+		}
 	}
 
 	@Override
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -18,6 +18,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 public class BackendHandlerTests {
 
@@ -44,6 +45,24 @@
 		}
 	}
 
+	@Test
+	public void aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller() {
+		List<Boolean> pooledWithReads = new ArrayList<>();
+		BackendHandler handler = new BackendHandler(false,
+				(channel) -> pooledWithReads.add(channel.config().isAutoRead()));
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), handler.decoder(), handler);
+		exchange(channel, handler, new Recorder() {
+			@Override
+			public void contentReceived(HttpContent content) {
+				super.contentReceived(content);
+				channel.config().setAutoRead(false);
+			}
+		}, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+		assertEquals(pooledWithReads, List.of(true));
+		assertTrue(channel.config().isAutoRead());
+		channel.finishAndReleaseAll();
+	}
+
 	private static List<String> received(String beginning, boolean reused) {
 		BackendHandler handler = new BackendHandler(false, (channel) -> {
 		});
@@ -62,7 +81,7 @@
 		channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
 	}
 
-	private static final class Recorder implements ResponseReceiver {
+	private static class Recorder implements ResponseReceiver {
 
 		private final List<String> events = new ArrayList<>();
 
