--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -67,12 +68,13 @@
 	},
 
 	/**
-	 * Sends a response with the request identifier of a different request.
+	 * Sends a response with the request identifier of a different request, which reports
+	 * that the server is leaving.
 	 */
 	CROSSED {
 		@Override
 		void write(ChannelHandlerContext context, FullHttpResponse response) {
-			response.headers().set("Masticlane-Request-Id", "another");
+			response.headers().set(REQUEST_ID, "another").set("Backend-State", "leaving");
 			context.writeAndFlush(response);
 		}
 	},
@@ -150,10 +152,40 @@
 		@Override
 		void write(ChannelHandlerContext context, FullHttpResponse response) {
 			response.release();
-			context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NO_CONTENT));
+			FullHttpResponse empty = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NO_CONTENT);
+			empty.headers().set(REQUEST_ID, response.headers().get(REQUEST_ID, ""));
+			context.writeAndFlush(empty);
+		}
+	},
+
+	/**
+	 * Sends a complete response, and a copy without the identifier when the next request
+	 * is received on the connection.
+	 */
+	REPEATED {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			writeAheadOfNextResponse(context, response.copy());
+			context.writeAndFlush(response);
+		}
+	},
+
+	/**
+	 * Sends a complete response, and the copy of an earlier refusal without its
+	 * identifier when the next request is received on the connection.
+	 */
+	REFUSED_BEFORE {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			FullHttpResponse refusal = response.copy().setStatus(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			refusal.headers().set("Request-Outcome", "not-run");
+			writeAheadOfNextResponse(context, refusal);
+			context.writeAndFlush(response);
 		}
 	};
 
+	private static final String REQUEST_ID = "Masticlane-Request-Id";
+
 	private static final int LARGE_BODY_BYTES = 100_000;
 
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
@@ -182,6 +214,18 @@
 			.orElse(PROMPT);
 	}
 
+	private static void writeAheadOfNextResponse(ChannelHandlerContext context, FullHttpResponse copy) {
+		copy.headers().remove(REQUEST_ID);
+		context.pipeline().addBefore(context.name(), null, new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext read, Object message) {
+				read.writeAndFlush(copy);
+				read.fireChannelRead(message);
+				read.pipeline().remove(this);
+			}
+		});
+	}
+
 	private static void writeHead(ChannelHandlerContext context, FullHttpResponse response, String name, String value) {
 		HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), response.headers());
 		head.headers().remove(HttpHeaderNames.CONTENT_LENGTH).set(name, value);
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -9,15 +9,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 public class BackendHandlerTests {
 
@@ -44,10 +45,28 @@
 		}
 	}
 
+	@Test
+	public void aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller() {
+		List<Boolean> pooledWithReads = new ArrayList<>();
+		BackendHandler handler = new BackendHandler(false,
+				(channel) -> pooledWithReads.add(channel.config().isAutoRead()));
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), handler.decoder(), handler);
+		exchange(channel, handler, new Recorder() {
+			@Override
+			public void contentReceived(HttpContent content) {
+				super.contentReceived(content);
+				channel.config().setAutoRead(false);
+			}
+		}, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+		assertEquals(pooledWithReads, List.of(true));
+		assertTrue(channel.config().isAutoRead());
+		channel.finishAndReleaseAll();
+	}
+
 	private static List<String> received(String beginning, boolean reused) {
-		BackendHandler handler = new BackendHandler((channel) -> {
+		BackendHandler handler = new BackendHandler(false, (channel) -> {
 		});
-		EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), handler);
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), handler.decoder(), handler);
 		if (reused) {
 			exchange(channel, handler, new Recorder(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 		}
@@ -58,12 +77,11 @@
 	}
 
 	private static void exchange(EmbeddedChannel channel, BackendHandler handler, Recorder recorder, String response) {
-		handler.expectResponse(recorder);
-		channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/post/1"));
+		handler.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/post/1"), recorder);
 		channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
 	}
 
-	private static final class Recorder implements ResponseReceiver {
+	private static class Recorder implements ResponseReceiver {
 
 		private final List<String> events = new ArrayList<>();
 
@@ -73,8 +91,9 @@
 		}
 
 		@Override
-		public void headReceived(HttpResponse head) {
+		public boolean headReceived(HttpResponse head) {
 			this.events.add("head");
+			return true;
 		}
 
 		@Override
