Lose an attempt at once whose response has a malformed head

The decoder marks the head of two responses in one as malformed, and passes on its content. The pool of the older stack closed the connection, but took the content that came before its end: a response without a head. The attempt is now lost with the head. BackendHandlerTests#aResponseWhoseHeadBeginsWithAPartOfAnotherIsReportedAsLost failed before (content in place of LOST).

--- a/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
+++ b/masticlane/src/main/java/io/masticlane/backend/BackendHandler.java
@@ -71,6 +71,7 @@
 		if (this.receiver == null || ((HttpObject) message).decoderResult().isFailure()) {
 			ReferenceCountUtil.release(message);
 			read.close();
+			attemptLost();
 			return;
 		}
 		if (message instanceof HttpResponse head) {
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -45,6 +45,16 @@
 		}
 	}
 
+	/**
+	 * Guards against the status of an earlier response that was written once more in
+	 * part.
+	 */
+	@Test
+	public void aResponseWhoseHeadBeginsWithAPartOfAnotherIsReportedAsLost() {
+		assertEquals(received("HTTP/1.1 200 OHTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", true),
+				List.of("LOST"));
+	}
+
 	@Test
 	public void aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller() {
 		List<Boolean> pooledWithReads = new ArrayList<>();
