--- a/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendConnectionsTests.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.configuration.BackendServer;
@@ -28,6 +29,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Tests which connections carry another request, with a backend server that writes the
@@ -41,6 +43,8 @@
 
 	private final BlockingQueue<String> responses = new ArrayBlockingQueue<>(8);
 
+	private CountDownLatch connectionEnded;
+
 	private EventLoopGroup loops;
 
 	private ServerSocket server;
@@ -49,13 +53,15 @@
 
 	@BeforeMethod
 	public void startServer() throws IOException {
+		CountDownLatch ended = new CountDownLatch(1);
+		this.connectionEnded = ended;
 		this.loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.connections = new BackendConnections(this.loops.next());
 		this.server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
 		runInBackground(() -> {
 			while (true) {
 				Socket socket = this.server.accept();
-				runInBackground(() -> serve(socket));
+				runInBackground(() -> serve(socket, ended));
 			}
 		});
 	}
@@ -101,7 +107,7 @@
 	@Test
 	public void aConnectionWithDataWhileItIsIdleIsNotReused() throws Exception {
 		assertEquals(call(HttpMethod.GET, RESPONSE + "|" + RESPONSE.substring(0, 20)), "new 200 ok");
-		TimeUnit.MILLISECONDS.sleep(200);
+		assertTrue(this.connectionEnded.await(5, TimeUnit.SECONDS), "the connection is open");
 		assertEquals(call(HttpMethod.GET, RESPONSE), "new 200 ok");
 	}
 
@@ -129,7 +135,16 @@
 		return recorder.result.poll(5, TimeUnit.SECONDS);
 	}
 
-	private void serve(Socket socket) throws IOException, InterruptedException {
+	private void serve(Socket socket, CountDownLatch ended) throws IOException, InterruptedException {
+		try {
+			serveRequests(socket);
+		}
+		finally {
+			ended.countDown();
+		}
+	}
+
+	private void serveRequests(Socket socket) throws IOException, InterruptedException {
 		BufferedReader reader = new BufferedReader(
 				new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
 		for (String line = reader.readLine(); line != null; line = reader.readLine()) {
