Refuse responses whose status line violates the protocol

What callers saw: a backend server in trouble sent an answer with status 000, and the caller got it as "HTTP/1.1 0 X". The same went for 00200 and +200 (as 200), for 2, 2000, 600 and 999, for HTTP/2.0 and HTTP/0.9 (as HTTP/1.1) and for control characters in the reason phrase. A 503 "not run" under such a status line was believed. A cold server whose health response was malformed counted as warm and received 144 to 150 requests in a second where 17 are allowed.

Cause: the codec reads a status with Integer.parseInt and ends words at some control characters. The raw line is gone by the time the head could be verified.

The fix: ResponseDecoder, through which both pools read, checks each word where the codec splits the line, with the codec's own validation of text. A head that fails becomes the codec's invalid message, which all recipients already treat as a lost attempt that may have run.

Refused before and kept as tests: words, signs, an empty status, other protocols, a bare CR. Unusual sound heads passed before and still do.

--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -5,12 +5,14 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -18,9 +20,11 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Decodes the responses on one connection. All of them are framed alike, whichever
- * request they are to, so that a response too many does not change the framing of those
- * after it.
+ * Decodes the responses on one connection, and determines for all recipients which of
+ * them violate the protocol: such a response is passed on with a failed
+ * {@link HttpResponse#decoderResult()}, after which the connection must be closed. All
+ * responses are framed alike, whichever request they are to, so that a response too many
+ * does not change the framing of those after it.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -32,12 +36,32 @@
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
+	/**
+	 * The protocol of all versions that are framed alike, without the minor version.
+	 */
+	private static final String PROTOCOL = "HTTP/1.";
+
+	private static final int STATUS_DIGITS = 3;
+
+	private static final int MAXIMUM_STATUS_CLASS = 5;
+
+	/**
+	 * The result of {@link HttpHeaderValidationUtil} for a text without illegal
+	 * characters.
+	 */
+	private static final int VALID = -1;
+
 	private final boolean withoutBody;
 
 	private final BooleanSupplier expecting;
 
 	private final Consumer<String> unexpectedDataListener;
 
+	/**
+	 * The end of the last word that was split off the status line.
+	 */
+	private int wordEnd;
+
 	/**
 	 * Creates a decoder.
 	 * @param withoutBody whether no response has a body, since all requests on the
@@ -71,6 +95,56 @@
 		return actualReadableBytes() > 0;
 	}
 
+	@Override
+	protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
+		String version = super.splitFirstWordInitialLine(line, start, length);
+		require(version.length() == PROTOCOL.length() + 1 && version.startsWith(PROTOCOL)
+				&& isDigit(version.charAt(PROTOCOL.length())), "an unknown protocol version");
+		this.wordEnd = start + length;
+		return version;
+	}
+
+	@Override
+	protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
+		requireBlanks(line, start);
+		String status = super.splitSecondWordInitialLine(line, start, length);
+		require(status.length() == STATUS_DIGITS && status.chars().allMatch(ResponseDecoder::isDigit)
+				&& status.charAt(0) >= '1' && status.charAt(0) <= '0' + MAXIMUM_STATUS_CLASS, "an unknown status");
+		this.wordEnd = start + length;
+		return status;
+	}
+
+	@Override
+	protected String splitThirdWordInitialLine(byte[] line, int start, int length) {
+		requireBlanks(line, start);
+		String reason = super.splitThirdWordInitialLine(line, start, length);
+		// A reason phrase consists of the same characters as a header value.
+		require(HttpHeaderValidationUtil.validateValidHeaderValue(reason) == VALID,
+				"an illegal character in the reason phrase");
+		return reason;
+	}
+
+	/**
+	 * Requires that only spaces and tabs precede a word of the status line. The codec
+	 * allows some control characters as well.
+	 * @param line the line
+	 * @param start the start of the word
+	 */
+	private void requireBlanks(byte[] line, int start) {
+		require(IntStream.range(this.wordEnd, start).allMatch((index) -> line[index] == ' ' || line[index] == '\t'),
+				"a control character in the status line");
+	}
+
+	private static boolean isDigit(int character) {
+		return character >= '0' && character <= '9';
+	}
+
+	private static void require(boolean condition, String problem) {
+		if (!condition) {
+			throw new CorruptedFrameException(problem);
+		}
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf data, List<Object> messages) throws Exception {
 		int decoded = messages.size();
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.masticlane.fixture.ResponseHeads;
 import io.masticlane.steering.AttemptResult;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -55,6 +56,19 @@
 				List.of("LOST"));
 	}
 
+	@DataProvider
+	public Object[][] malformedHeads() {
+		return ResponseHeads.malformed().map(List::toArray).toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "malformedHeads")
+	public void aResponseWithAMalformedHeadIsReportedAsLost(String statusLine, String header) {
+		for (boolean reused : new boolean[] { false, true }) {
+			assertEquals(received(statusLine + "\r\n" + header + "\r\nContent-Length: 4\r\n\r\nbody", reused),
+					List.of("LOST"));
+		}
+	}
+
 	@Test
 	public void aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller() {
 		List<Boolean> pooledWithReads = new ArrayList<>();
--- /dev/null
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -0,0 +1,121 @@
+package io.masticlane.client;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
+
+import io.masticlane.fixture.ResponseHeads;
+import io.masticlane.memory.MessageMemory;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+public class ResponseDecoderTests {
+
+	private static final String BODY = "the body of the server";
+
+	@DataProvider
+	public Object[][] malformedStatusLines() {
+		return rows(ResponseHeads.malformedStatusLines());
+	}
+
+	/**
+	 * Guards against a status that the server did not send, and against one that is none.
+	 * @param statusLine the status line
+	 */
+	@Test(dataProvider = "malformedStatusLines")
+	public void aMalformedStatusLineFailsTheResponse(String statusLine) {
+		assertFails(statusLine, ResponseHeads.ORDINARY_HEADER);
+	}
+
+	@DataProvider
+	public Object[][] soundHeads() {
+		return Stream
+			.concat(ResponseHeads.soundStatusLines().map((line) -> List.of(line, ResponseHeads.ORDINARY_HEADER)),
+					ResponseHeads.soundHeaders().map((header) -> List.of(ResponseHeads.OK, header)))
+			.map(List::toArray)
+			.toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "soundHeads")
+	public void anUnusualHeadIsAccepted(String statusLine, String header) {
+		assertSound(statusLine + "\r\n" + header + "\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY);
+	}
+
+	@DataProvider
+	public Object[][] soundChunkedHeaders() {
+		return rows(ResponseHeads.soundChunkedHeaders());
+	}
+
+	@Test(dataProvider = "soundChunkedHeaders")
+	public void aChunkedBodyIsDecodedHoweverItIsAnnounced(String header) {
+		assertSound(ResponseHeads.OK + "\r\n" + header + "\r\n\r\n" + Integer.toHexString(BODY.length())
+				+ ";name=\"value\"\r\n" + BODY + "\r\n0\r\nX-Trailer: value\r\n\r\n");
+	}
+
+	private static void assertFails(String statusLine, String header) {
+		String sound = "HTTP/1.1 100 Continue\r\n\r\n";
+		for (String before : List.of("", sound)) {
+			for (boolean withoutBody : new boolean[] { false, true }) {
+				for (boolean inPieces : new boolean[] { false, true }) {
+					FullHttpResponse response = receive(withoutBody, inPieces, before + statusLine + "\r\n" + header
+							+ "\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY);
+					assertTrue(response.decoderResult().isFailure(), "received: " + response);
+					response.release();
+				}
+			}
+		}
+	}
+
+	private static void assertSound(String text) {
+		for (boolean inPieces : new boolean[] { false, true }) {
+			FullHttpResponse response = receive(false, inPieces, text);
+			assertTrue(response.decoderResult().isSuccess(), String.valueOf(response.decoderResult().cause()));
+			assertEquals(response.status().code(), 200);
+			assertEquals(response.content().toString(StandardCharsets.ISO_8859_1), BODY);
+			response.release();
+		}
+	}
+
+	/**
+	 * Decodes the first response in a text.
+	 * @param withoutBody whether it is a response to a HEAD request
+	 * @param inPieces whether each byte is received alone
+	 * @param text the text, which may contain more than one response
+	 * @return the response
+	 */
+	private static FullHttpResponse receive(boolean withoutBody, boolean inPieces, String text) {
+		EmbeddedChannel channel = channel(withoutBody);
+		write(channel, text, inPieces);
+		FullHttpResponse response = channel.readInbound();
+		assertNotNull(response, "no response in " + text);
+		response.retain();
+		channel.finishAndReleaseAll();
+		return response;
+	}
+
+	private static EmbeddedChannel channel(boolean withoutBody) {
+		return new EmbeddedChannel(new ResponseDecoder(withoutBody, () -> true, (data) -> {
+		}), new ResponseAggregator(new MessageMemory(1024 * 1024), () -> true));
+	}
+
+	private static void write(EmbeddedChannel channel, String text, boolean inPieces) {
+		ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+		while (bytes.isReadable()) {
+			channel.writeInbound(bytes.readRetainedSlice(inPieces ? 1 : bytes.readableBytes()));
+		}
+		bytes.release();
+	}
+
+	private static Object[][] rows(Stream<String> values) {
+		return values.map((value) -> new Object[] { value }).toArray(Object[][]::new);
+	}
+
+}
