Refuse responses with a malformed name of a header

What callers saw: "Bad Name: v", "X-Name : v" and a line without a colon reached them as another header ("Bad", "X-Name", "no"); "Content-Length : 28" and "Transfer-Encoding : chunked" even determined the end of the body, so that callers got a body that was not the server's. Trailers were read in the same way.

Cause: in responses the codec ends a name at a blank and skips the rest up to the colon.

The fix: ResponseDecoder looks at each name where the codec splits it off the line, for headers and trailers alike. The byte behind it must be the colon, and the name a token by the codec's own validation. The response then fails like one with a malformed status line.

Refused before and kept as tests: control characters, separators other than blanks, bytes above 127, an empty name.

--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -135,6 +136,15 @@
 				"a control character in the status line");
 	}
 
+	@Override
+	protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+		AsciiString name = super.splitHeaderName(line, start, length);
+		// The codec ends a name at a blank as well, and skips the rest up to the colon.
+		require(!name.isEmpty() && line[start + length] == ':' && HttpHeaderValidationUtil.validateToken(name) == VALID,
+				"a malformed name of a header");
+		return name;
+	}
+
 	private static boolean isDigit(int character) {
 		return character >= '0' && character <= '9';
 	}
--- a/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -35,6 +35,31 @@
 		assertFails(statusLine, ResponseHeads.ORDINARY_HEADER);
 	}
 
+	@DataProvider
+	public Object[][] malformedHeaders() {
+		return rows(ResponseHeads.malformedHeaders());
+	}
+
+	/**
+	 * Guards against headers under another name than they were sent with, which may also
+	 * change the framing of the body.
+	 * @param header the header line
+	 */
+	@Test(dataProvider = "malformedHeaders")
+	public void aMalformedHeaderFailsTheResponse(String header) {
+		assertFails(ResponseHeads.OK, header);
+	}
+
+	@Test(dataProvider = "malformedHeaders")
+	public void aMalformedTrailerFailsTheResponse(String trailer) {
+		for (boolean inPieces : new boolean[] { false, true }) {
+			FullHttpResponse response = receive(false, inPieces, ResponseHeads.OK + "\r\nTransfer-Encoding: chunked"
+					+ "\r\n\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n\r\n");
+			assertTrue(response.decoderResult().isFailure(), trailer + " was taken as " + response.trailingHeaders());
+			response.release();
+		}
+	}
+
 	@DataProvider
 	public Object[][] soundHeads() {
 		return Stream
