Refuse responses with a transfer coding that is not decoded

What callers saw: a 200 with "Transfer-Encoding: xchunked", "chunked x", "chunked;q=1", "gzip" or "gzip, chunked" reached them with the coded bytes as its body, without the header that names the coding.

Cause: the codec decodes "chunked" alone and passes any other body on as it is, while the gateway removes the header.

The fix: ResponseDecoder requires that "chunked" is the only coding, before the codec determines the framing and removes the codings of responses without a body. "identity" is refused as well, since RFC 9112 no longer defines it.

"chunked" in any case, within empty list elements or folded, passed before and still does; so do chunk extensions and trailers.

--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -12,7 +12,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -187,8 +190,27 @@
 			.anyMatch((text) -> STATUS_LINE.matcher(text).find());
 	}
 
+	/**
+	 * Requires that a body is at most chunked. Callers would get any other coding as it
+	 * is, without the header that names it.
+	 * @param headers the headers of a response
+	 */
+	private static void requireKnownTransferCodings(HttpHeaders headers) {
+		List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+			.stream()
+			.flatMap((value) -> Stream.of(value.split(",")))
+			.map(String::trim)
+			.filter((coding) -> !coding.isEmpty())
+			.toList();
+		require(codings.isEmpty()
+				|| codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0)),
+				"an unknown transfer coding");
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		// Afterwards the codec removes the codings of a message without a body.
+		requireKnownTransferCodings(message.headers());
 		return this.withoutBody || super.isContentAlwaysEmpty(message);
 	}
 
--- a/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -60,6 +60,21 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] unknownTransferCodings() {
+		return rows(ResponseHeads.unknownTransferCodings());
+	}
+
+	/**
+	 * Guards against a body that is passed on with a transfer coding that callers are not
+	 * told of.
+	 * @param header the header line
+	 */
+	@Test(dataProvider = "unknownTransferCodings")
+	public void anUnknownTransferCodingFailsTheResponse(String header) {
+		assertFails(ResponseHeads.OK, header);
+	}
+
 	@DataProvider
 	public Object[][] soundHeads() {
 		return Stream
