End a body without a length only where its server has ended it

What callers saw: a backend server answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer. The store's client took such an answer for the confirmation of a put that the store had not read.

Cause: the write fails first, and closes the connection on this side. The codec then takes the end of the connection, whoever ended it, for the end of the body. The kernel reports a reset once, so that the read, which would have failed otherwise, never learns of it.

The fix: ResponseDecoder ends a body without a length only with the end of the input. It lets Netty report that as an event (ALLOW_HALF_CLOSURE) and closes the connection itself after it, as Netty did. Netty may fire the event after a failed read too, but behind the exception, after which the decoder ignores it (ResponseDecoderTests alone shows this; in the gateway the handler behind closes the connection first). Any other end of the connection ends no message, so both pools report the attempt as lost.

An early answer that its server ends reaches its caller, before and after. With a length or chunks no part reached a caller before either.

--- a/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
+++ b/masticlane/src/main/java/io/masticlane/client/ResponseDecoder.java
@@ -10,6 +10,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -61,6 +63,14 @@
 
 	private final Consumer<String> unexpectedDataListener;
 
+	/**
+	 * Whether the connection failed, after which the codec reports the end of its input
+	 * like one that the other end sent.
+	 */
+	private boolean connectionFailed;
+
+	private boolean inputEnded;
+
 	/**
 	 * The end of the last word that was split off the status line.
 	 */
@@ -99,6 +109,39 @@
 		return actualReadableBytes() > 0;
 	}
 
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		// The end of the input is reported as such, not just as the end of the
+		// connection.
+		context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+		this.connectionFailed = true;
+		super.exceptionCaught(context, cause);
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		this.inputEnded |= event instanceof ChannelInputShutdownEvent && !this.connectionFailed;
+		super.userEventTriggered(context, event);
+		if (event instanceof ChannelInputShutdownEvent) {
+			context.close();
+		}
+	}
+
+	/**
+	 * Ends a body without a length only where the other end has ended it. A connection
+	 * that is closed on this side or fails, by a write for instance, loses the rest.
+	 */
+	@Override
+	protected void decodeLast(ChannelHandlerContext context, ByteBuf data, List<Object> messages) throws Exception {
+		if (this.inputEnded) {
+			super.decodeLast(context, data, messages);
+		}
+	}
+
 	@Override
 	protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
 		String version = super.splitFirstWordInitialLine(line, start, length);
--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -69,6 +69,14 @@
 		}
 	}
 
+	/**
+	 * Guards against a part of a body as the whole one after a write failed.
+	 */
+	@Test
+	public void aBodyWithoutALengthIsReportedAsLostWhenItsConnectionIsClosedOnThisSide() {
+		assertEquals(received("HTTP/1.1 200 OK\r\n\r\nbody", false), List.of("head", "content", "LOST"));
+	}
+
 	@Test
 	public void aConnectionIsNeverPooledWithItsReadsSuspendedForASlowCaller() {
 		List<Boolean> pooledWithReads = new ArrayList<>();
--- a/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -1,5 +1,6 @@
 package io.masticlane.client;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Stream;
@@ -9,12 +10,15 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 public class ResponseDecoderTests {
@@ -100,6 +104,41 @@
 				+ ";name=\"value\"\r\n" + BODY + "\r\n0\r\nX-Trailer: value\r\n\r\n");
 	}
 
+	/**
+	 * Guards against a part of a body as the whole one after a write failed.
+	 */
+	@Test
+	public void aBodyWithoutALengthIsLostWhenItsConnectionIsClosedOnThisSide() {
+		EmbeddedChannel channel = channel(false);
+		write(channel, ResponseHeads.OK + "\r\n\r\n" + BODY, false);
+		channel.close();
+		assertNull(channel.readInbound());
+	}
+
+	/**
+	 * Guards against the end of the input that the codec reports after a reset.
+	 */
+	@Test
+	public void aBodyWithoutALengthIsLostWhenItsConnectionIsReset() {
+		EmbeddedChannel channel = channel(false);
+		write(channel, ResponseHeads.OK + "\r\n\r\n" + BODY, false);
+		channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+		channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertNull(channel.readInbound());
+		assertFalse(channel.isOpen());
+	}
+
+	@Test
+	public void aBodyWithoutALengthEndsWithTheInput() {
+		EmbeddedChannel channel = channel(false);
+		write(channel, ResponseHeads.OK + "\r\n\r\n" + BODY, false);
+		channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		FullHttpResponse response = channel.readInbound();
+		assertEquals(response.content().toString(StandardCharsets.ISO_8859_1), BODY);
+		response.release();
+		assertFalse(channel.isOpen());
+	}
+
 	private static void assertFails(String statusLine, String header) {
 		String sound = "HTTP/1.1 100 Continue\r\n\r\n";
 		for (String before : List.of("", sound)) {
