Reset the caller's connection when a response without a length is lost

What callers of `masticlane entry` saw: a backend server sent a part of a body without a length and reset its connection. The part had been relayed already, and the caller's connection was closed like at the end of the body, so that the part looked like the whole.

Cause: such a response ends with the caller's connection as well, and an early end was an ordinary close.

The fix: Exchange does the same, with the method that CallerHandler had, which is now in LingeringClose. This also covers the end of the process, a timeout and a withdrawn key, and chunked responses to HTTP/1.0 callers.

--- a/masticlane/src/main/java/io/masticlane/caller/Exchange.java
+++ b/masticlane/src/main/java/io/masticlane/caller/Exchange.java
@@ -19,6 +19,7 @@
 import io.masticlane.steering.InFlightRequest;
 import io.masticlane.steering.IncomingRequest;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -383,6 +384,9 @@
 				Headers.removeHopByHop(head.headers());
 				this.recorder.recordHead(head);
 				this.closeDelimited = Responses.frame(head, Exchange.this.request, Exchange.this.keepAlive);
+				if (this.closeDelimited) {
+					LingeringClose.resetOnClose(callerConnection(), true);
+				}
 				Exchange.this.context.write(head);
 			}
 			return namesAttempt;
@@ -395,8 +399,11 @@
 			}
 			else {
 				this.recorder.recordContent(content.content());
-				Exchange.this.context.writeAndFlush(content);
-				callerWritabilityChanged(Exchange.this.context.channel().isWritable());
+				ChannelFuture write = Exchange.this.context.writeAndFlush(content);
+				if (this.closeDelimited && content instanceof LastHttpContent) {
+					write.addListener((written) -> LingeringClose.resetOnClose(callerConnection(), false));
+				}
+				callerWritabilityChanged(callerConnection().isWritable());
 			}
 			if (isCurrent() && content instanceof LastHttpContent) {
 				responseCompleted();
@@ -411,6 +418,10 @@
 			}
 		}
 
+		private Channel callerConnection() {
+			return Exchange.this.context.channel();
+		}
+
 		private boolean isCurrent() {
 			return Exchange.this.attempt == this;
 		}
--- a/masticlane/src/main/java/io/masticlane/caller/LingeringClose.java
+++ b/masticlane/src/main/java/io/masticlane/caller/LingeringClose.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
@@ -53,6 +54,19 @@
 		lastWrite.addListener((ChannelFuture written) -> handler.endOutput(written));
 	}
 
+	/**
+	 * Determines how a connection ends if it ends early, for instance with the process.
+	 * While a response is written that ends with its connection, an early end must not
+	 * look like the end of the response.
+	 * @param connection the connection
+	 * @param reset whether the connection is reset, and not closed
+	 */
+	public static void resetOnClose(Channel connection, boolean reset) {
+		if (connection.isActive()) {
+			connection.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+		}
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof ByteBuf bytes) {
--- a/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
+++ b/masticlane/src/main/java/io/masticlane/demo/StandInResponse.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -123,6 +124,20 @@
 		}
 	},
 
+	/**
+	 * Sends a part of a body that is delimited by the end of the connection, and resets
+	 * the connection when the part has been received.
+	 */
+	RESET {
+		@Override
+		void write(ChannelHandlerContext context, FullHttpResponse response) {
+			writeHead(context, response, HttpHeaderNames.CONNECTION.toString(), "close");
+			context.writeAndFlush(new DefaultHttpContent(response.content()));
+			context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+			context.executor().schedule((Runnable) context::close, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	},
+
 	/**
 	 * Sends an informational (1xx) response before the final one.
 	 */
@@ -188,6 +203,8 @@
 
 	private static final int LARGE_BODY_BYTES = 100_000;
 
+	private static final long RESET_DELAY_MILLIS = 50;
+
 	private static final long LATE_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(1);
 
 	private static final long STALLED_DELAY_MILLIS = TimeUnit.SECONDS.toMillis(30);
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -17,7 +17,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -158,10 +157,9 @@
 			finish(copy);
 		}
 		else {
-			// An early end of the connection must not look like the end of the response.
-			resetOnClose(true);
+			LingeringClose.resetOnClose(this.context.channel(), true);
 			finish(copy);
-			this.lastWrite.addListener((written) -> resetOnClose(false));
+			this.lastWrite.addListener((written) -> LingeringClose.resetOnClose(this.context.channel(), false));
 		}
 	}
 
@@ -318,12 +316,6 @@
 		}
 	}
 
-	private void resetOnClose(boolean reset) {
-		if (this.context.channel().isActive()) {
-			this.context.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
-		}
-	}
-
 	private long currentWriteProgress() {
 		ChannelOutboundBuffer unwritten = this.context.channel().unsafe().outboundBuffer();
 		return (unwritten != null) ? unwritten.currentProgress() : 0;
--- a/masticlane/src/test/java/io/masticlane/caller/CallerServerTests.java
+++ b/masticlane/src/test/java/io/masticlane/caller/CallerServerTests.java
@@ -45,7 +45,7 @@
 
 	@Test
 	public void aTruncatedResponseIsSeenAsTruncated() {
-		List.of("truncated", "unfinished")
+		List.of("truncated", "unfinished", "reset")
 			.forEach((behaviour) -> expectThrows(IOException.class, () -> get(behaviour)));
 	}
 
