Count malformed responses as failures of the load client

What a user of `masticlane bench` saw: latencies of responses that were none, counted as served. HttpObjectAggregator passes a malformed response on with its own status and a failed result, which nobody looked at, and the codec accepted what ResponseDecoder refuses.

The load client now reads with ResponseDecoder and counts a failed result.

--- a/masticlane/src/main/java/io/masticlane/bench/LoadClient.java
+++ b/masticlane/src/main/java/io/masticlane/bench/LoadClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 
+import io.masticlane.client.ResponseDecoder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,10 +26,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -176,8 +177,8 @@
 					@Override
 					protected void initChannel(SocketChannel channel) {
 						channel.pipeline()
-							.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
-									Connection.this);
+							.addLast(new HttpRequestEncoder(), new ResponseDecoder(false, () -> true, (data) -> {
+							}), new HttpObjectAggregator(MAXIMUM_BODY_BYTES), Connection.this);
 					}
 				})
 				.connect(address)
@@ -198,7 +199,10 @@
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
 			long now = System.nanoTime();
 			LoadClient.this.latency.recordValue(Math.min(MAXIMUM_LATENCY_NANOS, now - this.due));
-			if (!response.status().equals(HttpResponseStatus.OK)) {
+			if (response.decoderResult().isFailure()) {
+				LoadClient.this.failures.merge("malformed response", 1L, Long::sum);
+			}
+			else if (!response.status().equals(HttpResponseStatus.OK)) {
 				LoadClient.this.failures.merge(response.status().toString(), 1L, Long::sum);
 			}
 			next(now);
