--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -56,12 +56,7 @@
 				List.of("LOST"));
 	}
 
-	@DataProvider
-	public Object[][] malformedHeads() {
-		return ResponseHeads.malformed().map(List::toArray).toArray(Object[][]::new);
-	}
-
-	@Test(dataProvider = "malformedHeads")
+	@Test(dataProvider = "malformedHeads", dataProviderClass = ResponseHeads.class)
 	public void aResponseWithAMalformedHeadIsReportedAsLost(String statusLine, String header) {
 		for (boolean reused : new boolean[] { false, true }) {
 			assertEquals(received(statusLine + "\r\n" + header + "\r\nContent-Length: 4\r\n\r\nbody", reused),
--- a/masticlane/src/test/java/io/masticlane/bench/LoadClientTests.java
+++ b/masticlane/src/test/java/io/masticlane/bench/LoadClientTests.java
@@ -8,7 +8,6 @@
 import io.masticlane.fixture.ResponseHeads;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -30,17 +29,12 @@
 		this.server.close();
 	}
 
-	@DataProvider
-	public Object[][] malformedHeads() {
-		return ResponseHeads.malformed().map(List::toArray).toArray(Object[][]::new);
-	}
-
 	/**
 	 * Guards against a measurement of requests that were not served.
 	 * @param statusLine the status line
 	 * @param header a header line
 	 */
-	@Test(dataProvider = "malformedHeads")
+	@Test(dataProvider = "malformedHeads", dataProviderClass = ResponseHeads.class)
 	public void aResponseWithAMalformedHeadCountsAsAFailure(String statusLine, String header) {
 		assertEquals(failures(statusLine, header), 1);
 	}
--- a/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -79,12 +79,7 @@
 		assertFails(ResponseHeads.OK, header);
 	}
 
-	@DataProvider
-	public Object[][] soundHeads() {
-		return ResponseHeads.sound().map(List::toArray).toArray(Object[][]::new);
-	}
-
-	@Test(dataProvider = "soundHeads")
+	@Test(dataProvider = "soundHeads", dataProviderClass = ResponseHeads.class)
 	public void anUnusualHeadIsAccepted(String statusLine, String header) {
 		assertSound(statusLine + "\r\n" + header + "\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY);
 	}
--- a/masticlane/src/test/java/io/masticlane/report/EntryHostClientTests.java
+++ b/masticlane/src/test/java/io/masticlane/report/EntryHostClientTests.java
@@ -9,7 +9,6 @@
 import io.masticlane.fixture.ResponseHeads;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -36,17 +35,12 @@
 		this.server.close();
 	}
 
-	@DataProvider
-	public Object[][] malformedHeads() {
-		return ResponseHeads.malformed().map(List::toArray).toArray(Object[][]::new);
-	}
-
 	/**
 	 * Guards against a report on an entry host that did not respond to it.
 	 * @param statusLine the status line
 	 * @param header a header line
 	 */
-	@Test(dataProvider = "malformedHeads")
+	@Test(dataProvider = "malformedHeads", dataProviderClass = ResponseHeads.class)
 	public void aResponseWithAMalformedHeadIsAProblem(String statusLine, String header) {
 		this.server.respondWith(response(statusLine, header));
 		assertProblem();
@@ -61,12 +55,7 @@
 		assertProblem();
 	}
 
-	@DataProvider
-	public Object[][] soundHeads() {
-		return ResponseHeads.sound().map(List::toArray).toArray(Object[][]::new);
-	}
-
-	@Test(dataProvider = "soundHeads")
+	@Test(dataProvider = "soundHeads", dataProviderClass = ResponseHeads.class)
 	public void anUnusualResponseIsRead(String statusLine, String header) {
 		this.server.respondWith(response(statusLine, header));
 		assertEquals(read().document().orElseThrow().path("revision").asInt(), 7);
--- a/masticlane/src/test/java/io/masticlane/store/EtcdStoreTests.java
+++ b/masticlane/src/test/java/io/masticlane/store/EtcdStoreTests.java
@@ -15,7 +15,6 @@
 import io.masticlane.fixture.ResponseHeads;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -51,17 +50,12 @@
 		this.server.close();
 	}
 
-	@DataProvider
-	public Object[][] malformedHeads() {
-		return ResponseHeads.malformed().map(List::toArray).toArray(Object[][]::new);
-	}
-
 	/**
 	 * Guards against an entry that the store has not sent.
 	 * @param statusLine the status line
 	 * @param header a header line
 	 */
-	@Test(dataProvider = "malformedHeads")
+	@Test(dataProvider = "malformedHeads", dataProviderClass = ResponseHeads.class)
 	public void aResponseWithAMalformedHeadFailsTheCall(String statusLine, String header) {
 		this.server.respondWith(response(statusLine, header, RANGE));
 		CompletionException failure = expectThrows(CompletionException.class, () -> this.store.read("key").join());
@@ -73,7 +67,7 @@
 	 * @param statusLine the status line
 	 * @param header a header line
 	 */
-	@Test(dataProvider = "malformedHeads")
+	@Test(dataProvider = "malformedHeads", dataProviderClass = ResponseHeads.class)
 	public void aWatchEndsWithAMalformedHead(String statusLine, String header) throws Exception {
 		this.server.respondWith(response(statusLine, header, EVENT));
 		Queue<Long> revisions = new ConcurrentLinkedQueue<>();
@@ -81,12 +75,7 @@
 		assertEquals(List.copyOf(revisions), List.of());
 	}
 
-	@DataProvider
-	public Object[][] soundHeads() {
-		return ResponseHeads.sound().map(List::toArray).toArray(Object[][]::new);
-	}
-
-	@Test(dataProvider = "soundHeads")
+	@Test(dataProvider = "soundHeads", dataProviderClass = ResponseHeads.class)
 	public void anUnusualResponseIsRead(String statusLine, String header) throws Exception {
 		this.server.respondWith(response(statusLine, header, RANGE));
 		Store.Entry entry = this.store.read("key").get(5, TimeUnit.SECONDS).orElseThrow();
