--- a/masticlane/src/main/java/io/masticlane/client/AsyncClient.java
+++ b/masticlane/src/main/java/io/masticlane/client/AsyncClient.java
@@ -26,8 +26,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
- * Makes calls from any thread. They share an event loop, on which they complete, and
- * connections to one address are opened ahead if the client makes many calls to it.
+ * Makes calls from any thread. The calls of all clients share an event loop, on which
+ * they complete. Each call has a connection of its own, which can be opened ahead.
  */
 public final class AsyncClient {
 
@@ -53,7 +53,7 @@
 	}
 
 	/**
-	 * Returns the event loop of all clients, for calls that take longer than a response.
+	 * Returns the event loop of all clients, for calls whose responses are streamed.
 	 * @return the event loop
 	 */
 	public static EventLoop loop() {
