Deliver no writes from the body of an unsuccessful watch response

What the entry host saw: a 503 to a watch ended it, but events in the 503's body that were decoded in the same read were still delivered as writes.

Cause: EtcdWatch passed on the content of every response but interim ones; closing the connection does not drop what is decoded already.

The fix: only the content of a 200 is passed on, which also replaces the flag for interim responses.

Evidence (aarch64): EtcdStoreTests#aWatchDeliversNothingFromAnUnsuccessfulResponse delivered 1 write before and none now.

--- a/masticlane/src/main/java/io/masticlane/store/EtcdWatch.java
+++ b/masticlane/src/main/java/io/masticlane/store/EtcdWatch.java
@@ -132,7 +132,7 @@
 	 */
 	private final class ContentHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-		private boolean informational;
+		private boolean successful;
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
@@ -141,15 +141,15 @@
 				return;
 			}
 			if (message instanceof HttpResponse head) {
-				this.informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-				if (!this.informational) {
+				this.successful = head.status().equals(HttpResponseStatus.OK);
+				if (this.successful) {
 					EtcdWatch.this.responseTimeout.cancel(false);
 				}
-				if (!this.informational && !head.status().equals(HttpResponseStatus.OK)) {
+				else if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
 					end("response with status " + head.status().code());
 				}
 			}
-			if (message instanceof HttpContent content && !this.informational) {
+			if (message instanceof HttpContent content && this.successful) {
 				context.fireChannelRead(content.content().retain());
 			}
 		}
--- a/masticlane/src/test/java/io/masticlane/store/EtcdStoreTests.java
+++ b/masticlane/src/test/java/io/masticlane/store/EtcdStoreTests.java
@@ -75,6 +75,18 @@
 		assertEquals(List.copyOf(revisions), List.of());
 	}
 
+	/**
+	 * Guards against writes in the body of a response that reports a failure.
+	 */
+	@Test
+	public void aWatchDeliversNothingFromAnUnsuccessfulResponse() throws Exception {
+		this.server.respondWith(response("HTTP/1.1 503 Service Unavailable", ResponseHeads.ORDINARY_HEADER, EVENT));
+		Queue<Long> revisions = new ConcurrentLinkedQueue<>();
+		watchUntilEnd(revisions);
+		TimeUnit.MILLISECONDS.sleep(100);
+		assertEquals(List.copyOf(revisions), List.of());
+	}
+
 	@Test(dataProvider = "soundHeads", dataProviderClass = ResponseHeads.class)
 	public void anUnusualResponseIsRead(String statusLine, String header) throws Exception {
 		this.server.respondWith(response(statusLine, header, RANGE));
