--- a/masticlane/src/main/java/io/masticlane/client/AsyncClient.java
+++ b/masticlane/src/main/java/io/masticlane/client/AsyncClient.java
@@ -63,15 +63,11 @@
 	/**
 	 * Makes a call. It fails with an {@link IOException} whose class tells how.
 	 * @param address the address of the other end
-	 * @param request the request, which is released, with all headers but {@code Host}
-	 * and {@code Content-Length}
+	 * @param request the request, which is released
 	 * @return the response, completed on the event loop
 	 */
 	public CompletableFuture<Response> call(InetSocketAddress address, FullHttpRequest request) {
 		CompletableFuture<Response> result = new CompletableFuture<>();
-		request.headers()
-			.set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
-			.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
 		LOOP.execute(() -> start(address, request, result));
 		return result;
 	}
@@ -84,11 +80,11 @@
 	 * @see #call(InetSocketAddress, FullHttpRequest)
 	 */
 	public CompletableFuture<Response> get(String address, String path) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+		request.headers().set(HttpHeaderNames.HOST, address);
 		int colon = address.lastIndexOf(':');
-		return call(
-				InetSocketAddress.createUnresolved(address.substring(0, colon),
-						Integer.parseInt(address.substring(colon + 1))),
-				new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path));
+		return call(InetSocketAddress.createUnresolved(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1))), request);
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/store/EtcdStore.java
+++ b/masticlane/src/main/java/io/masticlane/store/EtcdStore.java
@@ -126,7 +126,10 @@
 	private FullHttpRequest request(String method, ObjectNode body) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v3/" + method,
 				Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8));
-		request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+		request.headers()
+			.set(HttpHeaderNames.HOST, this.address.getHostString() + ":" + this.address.getPort())
+			.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+			.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
 		return request;
 	}
 
--- a/masticlane/src/main/java/io/masticlane/store/EtcdWatch.java
+++ b/masticlane/src/main/java/io/masticlane/store/EtcdWatch.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -67,9 +66,6 @@
 	static EtcdWatch open(InetSocketAddress address, FullHttpRequest request, Duration timeout,
 			Store.WatchListener listener) {
 		EtcdWatch watch = new EtcdWatch(listener);
-		request.headers()
-			.set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
-			.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
 		AsyncClient.loop().execute(() -> watch.connect(address, request, timeout));
 		return watch;
 	}
