--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -41,10 +41,10 @@
 				use.repeated(), this.planVersion);
 	}
 
-	void refused(String reason, int status, String organisation, double expectedMillis, double latestMillis,
-			double retryAfterMillis) {
-		this.log.record(Event.REQUEST_REFUSED, this.id, reason, status, this.route, organisation, ageMillis(),
-				Math.round(expectedMillis), Math.round(latestMillis), Math.round(retryAfterMillis), this.planVersion);
+	void refused(Refusal refusal, int status, String organisation) {
+		this.log.record(Event.REQUEST_REFUSED, this.id, refusal.reason(), status, this.route, organisation, ageMillis(),
+				Math.round(refusal.expectedMillis()), Math.round(refusal.latestMillis()),
+				Math.round(refusal.retryAfterMillis()), this.planVersion);
 	}
 
 	void rateExceeded(OrganisationPlan organisation, GatewayContext gateway, double retryAfterMillis) {
--- a/masticlane/src/main/java/io/masticlane/plan/PathRoute.java
+++ b/masticlane/src/main/java/io/masticlane/plan/PathRoute.java
@@ -8,7 +8,7 @@
  *
  * @param name the name of the route
  * @param prefix the prefix of the path, with a slash at both ends
- * @param idempotent whether a request may run more than once
+ * @param kind what the requests are, which decides whether they may run more than once
  * @param timeoutMillis the maximum time until the response to a caller, or zero for no
  * limit
  * @param objectiveMillis the time within which a response has its full value
@@ -20,7 +20,7 @@
  * @param sticky whether a backend server is faster for objects that it served recently
  * @param allowedRegions the regions that may serve the route, or an empty set for all
  */
-public record PathRoute(String name, String prefix, boolean idempotent, long timeoutMillis, long objectiveMillis,
+public record PathRoute(String name, String prefix, RouteKind kind, long timeoutMillis, long objectiveMillis,
 		int priority, List<WeightedService> targets, int maximumServers, boolean open, boolean sticky,
 		Set<String> allowedRegions) {
 
@@ -29,6 +29,14 @@
 		allowedRegions = Set.copyOf(allowedRegions);
 	}
 
+	/**
+	 * Returns whether a request may run more than once.
+	 * @return whether a request may run more than once
+	 */
+	public boolean idempotent() {
+		return this.kind.isIdempotent();
+	}
+
 	/**
 	 * A service with its weight among the services of a route.
 	 *
--- a/masticlane/src/main/java/io/masticlane/plan/TrafficPlan.java
+++ b/masticlane/src/main/java/io/masticlane/plan/TrafficPlan.java
@@ -29,6 +29,8 @@
 
 	private final CallerLimits limits;
 
+	private final boolean downloads;
+
 	/**
 	 * Creates a plan.
 	 * @param version the version, which increases with each update of the plan
@@ -57,6 +59,10 @@
 		services.forEach((service) -> servicesByName.put(service.name(), service));
 		this.services = Map.copyOf(servicesByName);
 		this.limits = limits;
+		this.downloads = this.routes.values()
+			.stream()
+			.flatMap(List::stream)
+			.anyMatch((route) -> route.kind() == RouteKind.DOWNLOAD);
 	}
 
 	/**
@@ -82,6 +88,15 @@
 			.findFirst();
 	}
 
+	/**
+	 * Returns whether any route is for downloads, whose large responses share links and
+	 * memory with the other requests.
+	 * @return whether any route is for downloads
+	 */
+	public boolean hasDownloads() {
+		return this.downloads;
+	}
+
 	/**
 	 * Returns whether requests require an API key unless their route is open.
 	 * @return whether the plan names organisations
--- a/masticlane/src/test/java/io/masticlane/benchmark/PlacementBenchmark.java
+++ b/masticlane/src/test/java/io/masticlane/benchmark/PlacementBenchmark.java
@@ -13,6 +13,7 @@
 import io.masticlane.placement.Rendezvous;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.PathRoute;
+import io.masticlane.plan.RouteKind;
 import io.masticlane.registry.RegisteredServer;
 
 /**
@@ -33,7 +34,7 @@
 
 	private static final List<String> REGIONS = List.of("west", "east", "north");
 
-	private final PathRoute route = new PathRoute("read", "/read/", true, 1_200, 600, 2,
+	private final PathRoute route = new PathRoute("read", "/read/", RouteKind.IDEMPOTENT, 1_200, 600, 2,
 			List.of(new PathRoute.WeightedService("s", 1)), 2, true, true, Set.of());
 
 	private final Placement placement = new Placement("west", 1.5, 5);
--- a/masticlane/src/test/java/io/masticlane/gateway/WeightedRoundRobinTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/WeightedRoundRobinTests.java
@@ -5,6 +5,7 @@
 import java.util.stream.IntStream;
 
 import io.masticlane.plan.PathRoute;
+import io.masticlane.plan.RouteKind;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -29,7 +30,7 @@
 	}
 
 	private static PathRoute route(double first, double second) {
-		return new PathRoute("r", "/r/", true, 0, 500, 0,
+		return new PathRoute("r", "/r/", RouteKind.IDEMPOTENT, 0, 500, 0,
 				List.of(new PathRoute.WeightedService("a", first), new PathRoute.WeightedService("b", second)), 2, true,
 				true, Set.of());
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -23,6 +23,7 @@
 
 import io.masticlane.admission.AdmissionPolicy;
 import io.masticlane.plan.PathRoute;
+import io.masticlane.plan.RouteKind;
 import io.masticlane.registry.RegisteredServer;
 
 /**
@@ -507,8 +508,8 @@
 		static RequestKind of(String name, double perSecond, int objects, double workMillis, long objectiveMillis,
 				long timeoutMillis, int priority) {
 			return new RequestKind(name, perSecond, objects, workMillis, 4_000,
-					new PathRoute(name, "/" + name + "/", true, timeoutMillis, objectiveMillis, priority,
-							List.of(new PathRoute.WeightedService(SERVICE, 1)), 2, true, true, Set.of()));
+					new PathRoute(name, "/" + name + "/", RouteKind.IDEMPOTENT, timeoutMillis, objectiveMillis,
+							priority, List.of(new PathRoute.WeightedService(SERVICE, 1)), 2, true, true, Set.of()));
 		}
 
 	}
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -11,6 +11,7 @@
 import java.util.stream.LongStream;
 
 import io.masticlane.plan.PathRoute;
+import io.masticlane.plan.RouteKind;
 import io.masticlane.registry.RegisteredServer;
 import org.testng.annotations.Test;
 
@@ -22,7 +23,7 @@
 
 	private static final long LATER = TimeUnit.SECONDS.toNanos(60);
 
-	private final PathRoute route = new PathRoute("r", "/r/", true, 1_200, 600, 0,
+	private final PathRoute route = new PathRoute("r", "/r/", RouteKind.IDEMPOTENT, 1_200, 600, 0,
 			List.of(new PathRoute.WeightedService("s", 1)), 2, true, true, Set.of());
 
 	@Test
--- a/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 
 import io.masticlane.plan.PathRoute;
+import io.masticlane.plan.RouteKind;
 import io.masticlane.registry.RegisteredServer;
 import org.testng.annotations.Test;
 
@@ -63,7 +64,7 @@
 	public void choosingAServerStaysCheapWithHundredsOfServers() {
 		Placement placement = new Placement("r1", 1.5, 5);
 		IntStream.range(0, 420).forEach((index) -> placement.add(server(index, "r" + index % 3)));
-		PathRoute route = new PathRoute("read", "/", true, 5_000, 1_000, 0,
+		PathRoute route = new PathRoute("read", "/", RouteKind.IDEMPOTENT, 5_000, 1_000, 0,
 				List.of(new PathRoute.WeightedService("desk", 1)), 2, false, true, Set.of());
 		placement.update(List.of(), NOW);
 		long best = Long.MAX_VALUE;
--- a/masticlane/src/test/java/io/masticlane/plan/EntitlementTests.java
+++ b/masticlane/src/test/java/io/masticlane/plan/EntitlementTests.java
@@ -47,8 +47,8 @@
 	}
 
 	private static PathRoute route(Set<String> allowedRegions) {
-		return new PathRoute("read", "/", true, 1_000, 500, 1, List.of(new PathRoute.WeightedService("desk", 1)), 1,
-				false, false, allowedRegions);
+		return new PathRoute("read", "/", RouteKind.IDEMPOTENT, 1_000, 500, 1,
+				List.of(new PathRoute.WeightedService("desk", 1)), 1, false, false, allowedRegions);
 	}
 
 	private static OrganisationPlan organisation(Set<String> allowedRegions, OptionalInt priority) {
--- a/masticlane/src/test/java/io/masticlane/plan/TrafficPlanTests.java
+++ b/masticlane/src/test/java/io/masticlane/plan/TrafficPlanTests.java
@@ -35,8 +35,8 @@
 	}
 
 	private static PathRoute route(String prefix) {
-		return new PathRoute(prefix, prefix, true, 1_000, 500, 0, List.of(new PathRoute.WeightedService("s", 1)), 2,
-				false, true, Set.of());
+		return new PathRoute(prefix, prefix, RouteKind.IDEMPOTENT, 1_000, 500, 0,
+				List.of(new PathRoute.WeightedService("s", 1)), 2, false, true, Set.of());
 	}
 
 }
