--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -176,6 +176,11 @@
 	 */
 	DATA_UNEXPECTED(6111, Severity.INFORMATION, "address={} connection={} calls={} data={}"),
 
+	/**
+	 * The relays of this host's reports changed.
+	 */
+	RELAYS_CHANGED(6112, Severity.INFORMATION, "reports={} relay={} relays={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -117,15 +117,28 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void reportReceived(String host, Message.GatewayReport report, long now) {
-		this.reports.put(host, new Report(report, now));
+		this.reports.put(host, new Report(report, now, true));
 	}
 
 	/**
-	 * Records the loss of the last connection to a gateway.
+	 * Records a report that may have been relayed.
+	 * @param received the report
+	 */
+	public void reportReceived(ReceivedReport received) {
+		this.reports.put(received.origin().host(),
+				new Report(received.report(), received.receivedAt(), received.direct()));
+	}
+
+	/**
+	 * Records the loss of the last connection to a gateway. It says nothing of a gateway
+	 * whose reports are relayed.
 	 * @param host the name of its entry host
 	 */
 	public void connectionLost(String host) {
-		this.reports.remove(host);
+		Report report = this.reports.get(host);
+		if (report != null && report.direct()) {
+			this.reports.remove(host);
+		}
 	}
 
 	/**
@@ -242,7 +255,7 @@
 	private record LapsedMember(Gateway gateway, long lapsedAt) {
 	}
 
-	private record Report(Message.GatewayReport report, long receivedAt) {
+	private record Report(Message.GatewayReport report, long receivedAt, boolean direct) {
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -121,6 +121,10 @@
 		return allowance;
 	}
 
+	int fullMeshHosts() {
+		return this.settings.fullMeshHosts();
+	}
+
 	int gateways() {
 		return this.fleet.size();
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -21,7 +21,6 @@
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
-import io.masticlane.peer.Peer;
 import io.masticlane.plan.CallerLimits;
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.setting.GatewaySettings;
@@ -148,7 +147,7 @@
 		this.healthChecks = new HealthChecks(this.gateway, this.freshness);
 		this.gateway.requestSentListener(this.healthChecks::checkIfNeeded);
 		this.peers = new PeerReports(this.loops, this.gateway, this.fleet, this.view, this.follower, this.freshness,
-				new Peer(settings.host(), this.incarnation));
+				this::self);
 	}
 
 	/**
@@ -245,14 +244,15 @@
 		return this.regions.getOrDefault(dataCentre, dataCentre);
 	}
 
-	private void connectPeers(List<Gateway> others) {
-		this.peers.connect(others);
+	private void connectPeers() {
+		this.peers.connect();
 	}
 
 	private void tick() {
 		long now = System.nanoTime();
 		this.view.expire(now);
 		this.fleet.expire(now);
+		this.peers.relay();
 		this.healthChecks.update(now);
 		this.gateway.placement().update(this.fleet.localFractions(this.settings.region(), now), now);
 		this.gateway.regionFlow()
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -38,6 +38,13 @@
 	 */
 	static final long LONG_POLL_MILLIS = 1_000;
 
+	/**
+	 * How much longer than the pause between reads a gateway waits for changes from a
+	 * relay before it reads the store itself, in milliseconds. A departure or plan that
+	 * no relay forwards is still in force within two thirds of its bound.
+	 */
+	static final long RELAYED_CHANGES_MARGIN_MILLIS = 400;
+
 	/**
 	 * The pause after a failed call to the store.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
 import io.masticlane.event.Event;
@@ -47,7 +46,7 @@
 
 	private final ServerRegistry registry = new ServerRegistry(this::serverChanged, this::serverRemoved);
 
-	private final Consumer<List<Gateway>> membersChanged;
+	private final Runnable membersChanged;
 
 	private final long entryDelayNanos;
 
@@ -60,7 +59,7 @@
 	private boolean loaded;
 
 	GatewayView(GatewayContext gateway, GatewayFleet fleet, String self, UnaryOperator<String> regions,
-			Consumer<List<Gateway>> membersChanged, long entryDelayMillis) {
+			Runnable membersChanged, long entryDelayMillis) {
 		this.gateway = gateway;
 		this.fleet = fleet;
 		this.self = self;
@@ -189,6 +188,14 @@
 		this.events.record(Event.EVACUATION_CHANGED, String.join(",", updated), source, position);
 	}
 
+	/**
+	 * Records that a server wrote its entry again without a change.
+	 * @param id the identifier of the server
+	 */
+	void serverConfirmed(String id) {
+		this.registry.entryConfirmed(id);
+	}
+
 	/**
 	 * Removes expired entries of backend servers.
 	 * @param now the current time in nanoseconds
@@ -290,7 +297,7 @@
 			if (!previous.equals(Optional.of(member))) {
 				this.events.record(Event.MEMBER_CHANGED, host, member.leaving() ? "leaving" : "registered",
 						member.incarnation(), this.fleet.size());
-				this.membersChanged.accept(this.fleet.others());
+				this.membersChanged.run();
 			}
 		}
 		catch (IllegalArgumentException ex) {
@@ -322,7 +329,7 @@
 			boolean lapsed = this.fleet.memberRemoved(host, System.nanoTime());
 			this.events.record(Event.MEMBER_CHANGED, host, lapsed ? "lapsed" : "gone", member.incarnation(),
 					this.fleet.size());
-			this.membersChanged.accept(this.fleet.others());
+			this.membersChanged.run();
 		});
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -8,10 +8,12 @@
 
 import io.masticlane.store.SharedState;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * Follows the store: reads all items once, then the changes in batches, and all items
- * again when the store no longer holds the changes in between.
+ * again when the store no longer holds the changes in between. Changes that a relay has
+ * read replace own reads while they arrive without a gap.
  */
 final class StoreFollower {
 
@@ -25,6 +27,11 @@
 
 	private final long pauseMillis;
 
+	private Consumer<Batch> forwarder = (batch) -> {
+	};
+
+	private ScheduledFuture<?> nextRead;
+
 	private long position = -1;
 
 	private long lastResponseAt;
@@ -48,6 +55,14 @@
 		this.lastResponseAt = System.nanoTime();
 	}
 
+	/**
+	 * Sets the receiver of the changes that this follower reads itself.
+	 * @param receiver receives each batch after it was delivered
+	 */
+	void forwardTo(Consumer<Batch> receiver) {
+		this.forwarder = receiver;
+	}
+
 	void start() {
 		readAll();
 	}
@@ -56,6 +71,28 @@
 		this.stopped = true;
 	}
 
+	/**
+	 * Applies changes that a relay has read, unless they leave a gap or are known. A
+	 * batch that overlaps with known changes is applied whole: it ends with the newest
+	 * value of each of its keys.
+	 * @param batch the changes
+	 * @return whether the changes were applied
+	 */
+	boolean apply(Batch batch) {
+		if (this.stopped || this.position < 0 || batch.after() > this.position || batch.position() < this.position) {
+			return false;
+		}
+		this.lastResponseAt = System.nanoTime();
+		if (this.lost || batch.recovered()) {
+			this.lost = false;
+			this.listener.storeRecovered();
+		}
+		this.position = batch.position();
+		batch.items().forEach(this::deliver);
+		schedule(this.pauseMillis + GatewayTimes.RELAYED_CHANGES_MARGIN_MILLIS, this::follow);
+		return true;
+	}
+
 	/**
 	 * Returns the position up to which all changes were received.
 	 * @return the position, or -1
@@ -107,10 +144,13 @@
 	}
 
 	private void follow() {
-		onSuccess(this.store.changes(ALL_KEYS, this.position, GatewayTimes.LONG_POLL_MILLIS), (changes) -> {
+		long after = this.position;
+		boolean wasLost = this.lost;
+		onSuccess(this.store.changes(ALL_KEYS, after, GatewayTimes.LONG_POLL_MILLIS), (changes) -> {
 			this.position = Math.max(this.position, changes.position());
 			changes.items().forEach(this::deliver);
 			schedule(this.pauseMillis, this::follow);
+			this.forwarder.accept(new Batch(after, changes.position(), changes.items(), wasLost));
 		});
 	}
 
@@ -166,7 +206,26 @@
 	}
 
 	private void schedule(long millis, Runnable task) {
-		this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+		if (this.nextRead != null) {
+			this.nextRead.cancel(false);
+		}
+		this.nextRead = this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Changes of the store.
+	 *
+	 * @param after the position after which the changes begin
+	 * @param position the position up to which the changes are complete
+	 * @param items the items as written, without a value if deleted
+	 * @param recovered whether the store has just recovered for the reader
+	 */
+	record Batch(long after, long position, List<SharedState.Item> items, boolean recovered) {
+
+		Batch {
+			items = List.copyOf(items);
+		}
+
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/message/Message.java
+++ b/masticlane/src/main/java/io/masticlane/message/Message.java
@@ -99,6 +99,16 @@
 				decoded = GatewayReport.decodeFields(unpacker);
 				unpacker.skipValue(Math.max(0, size - 9));
 				break;
+			case 14:
+				MessageFrame.checkSize(tag, size, 3);
+				decoded = RelayedReports.decodeFields(unpacker);
+				unpacker.skipValue(size - 3);
+				break;
+			case 15:
+				MessageFrame.checkSize(tag, size, 6);
+				decoded = StoreChanges.decodeFields(unpacker);
+				unpacker.skipValue(size - 6);
+				break;
 			default:
 				throw new MalformedMessageException("unknown message tag " + tag);
 		}
@@ -493,4 +503,64 @@
 		}
 	}
 
+	/**
+	 * Reports of several gateways, or of the sender alone, in a fleet whose reports are
+	 * relayed.
+	 *
+	 * @param scope what the reports are of: 0 for the sender alone, 1 for its region, 2
+	 * for all regions
+	 * @param reports the reports, each with its origin, number and age
+	 */
+	record RelayedReports(int scope, byte[] reports) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(3);
+			packer.packInt(14);
+			packer.packInt(this.scope);
+			packer.packBinaryHeader(this.reports.length);
+			packer.writePayload(this.reports);
+		}
+
+		private static RelayedReports decodeFields(MessageUnpacker unpacker) throws IOException {
+			int scope = unpacker.unpackInt();
+			byte[] reports = MessageFrame.readBytes(unpacker);
+			return new RelayedReports(scope, reports);
+		}
+	}
+
+	/**
+	 * Changes of the store that a relay has read, for the gateways of its region.
+	 *
+	 * @param after the store revision after which the changes begin
+	 * @param position the store revision up to which the changes are complete
+	 * @param recovered whether the store has just recovered for the sender
+	 * @param items the changed items, each with its key and its value, or nil if it was
+	 * deleted
+	 * @param confirmed the identifiers of the backend servers that wrote their entry
+	 * again unchanged, separated by spaces
+	 */
+	record StoreChanges(long after, long position, boolean recovered, byte[] items,
+			String confirmed) implements Message {
+		@Override
+		public void encode(MessagePacker packer) throws IOException {
+			packer.packArrayHeader(6);
+			packer.packInt(15);
+			packer.packLong(this.after);
+			packer.packLong(this.position);
+			packer.packBoolean(this.recovered);
+			packer.packBinaryHeader(this.items.length);
+			packer.writePayload(this.items);
+			packer.packString(this.confirmed);
+		}
+
+		private static StoreChanges decodeFields(MessageUnpacker unpacker) throws IOException {
+			long after = unpacker.unpackLong();
+			long position = unpacker.unpackLong();
+			boolean recovered = unpacker.unpackBoolean();
+			byte[] items = MessageFrame.readBytes(unpacker);
+			String confirmed = unpacker.unpackString();
+			return new StoreChanges(after, position, recovered, items, confirmed);
+		}
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
+++ b/masticlane/src/main/java/io/masticlane/peer/PeerNetwork.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -142,6 +143,59 @@
 		});
 	}
 
+	/**
+	 * Sends a message to several peers, each over the connection on which a message was
+	 * received last. The message is encoded once.
+	 * @param hosts the names of the peers' entry hosts; those without a connection are
+	 * left out
+	 * @param message the message
+	 */
+	public void send(Set<String> hosts, Message message) {
+		Map<String, Channel> channels = new HashMap<>();
+		this.connections.forEach((channel, receiver) -> {
+			if (hosts.contains(receiver.peer().host())) {
+				channels.merge(receiver.peer().host(), channel, this::lastHeard);
+			}
+		});
+		if (channels.isEmpty()) {
+			return;
+		}
+		byte[] payload = MessageFrame.encode(message);
+		channels.values().forEach((channel) -> {
+			if (channel.isWritable()) {
+				channel.writeAndFlush(Unpooled.wrappedBuffer(payload));
+			}
+			else {
+				this.droppedMessages.increment();
+			}
+		});
+	}
+
+	/**
+	 * Returns whether a connection to a peer is open.
+	 * @param host the name of the peer's entry host
+	 * @return whether a connection is open
+	 */
+	public boolean isConnected(String host) {
+		return this.connections.values().stream().anyMatch((each) -> each.peer().host().equals(host));
+	}
+
+	/**
+	 * Returns whether this process connects, or is connected, to an address by itself.
+	 * @param address the address
+	 * @return whether the connection is an outgoing one
+	 */
+	public boolean isDialled(InetSocketAddress address) {
+		return this.dialledAddresses.contains(address);
+	}
+
+	private Channel lastHeard(Channel one, Channel other) {
+		GreetedPeer first = this.connections.get(one);
+		GreetedPeer second = this.connections.get(other);
+		return (first == null || second != null && second.lastReceivedAt().get() > first.lastReceivedAt().get()) ? other
+				: one;
+	}
+
 	/**
 	 * Returns the number of messages that were dropped because no connection was
 	 * writable.
--- a/masticlane/src/main/java/io/masticlane/registry/RegisteredServer.java
+++ b/masticlane/src/main/java/io/masticlane/registry/RegisteredServer.java
@@ -17,4 +17,15 @@
  */
 public record RegisteredServer(String id, String service, InetSocketAddress address, String dataCentre, int slots,
 		boolean leaving, long coldMillis, long startedAt, long sequence) {
+
+	/**
+	 * Returns this entry with another sequence number.
+	 * @param other the sequence number
+	 * @return the entry
+	 */
+	public RegisteredServer withSequence(long other) {
+		return new RegisteredServer(this.id, this.service, this.address, this.dataCentre, this.slots, this.leaving,
+				this.coldMillis, this.startedAt, other);
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/registry/ServerRegistry.java
+++ b/masticlane/src/main/java/io/masticlane/registry/ServerRegistry.java
@@ -64,6 +64,18 @@
 		}
 	}
 
+	/**
+	 * Records that a server wrote its entry again without a change.
+	 * @param id the identifier of the server
+	 */
+	public void entryConfirmed(String id) {
+		RegisteredServer server = this.servers.get(id);
+		if (server != null) {
+			this.lapsed.remove(id);
+			this.changed.accept(server, server);
+		}
+	}
+
 	/**
 	 * Records that an entry was deleted or no longer describes a server.
 	 * @param id the identifier of the server
--- a/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
@@ -33,12 +33,16 @@
  * receive requests after its departure was recorded.
  * @param configurationSeconds The longest time in seconds until a recorded configuration
  * is in force.
+ * @param fullMeshHosts The largest number of entry hosts that all report to each other
+ * and follow the store by themselves; in a larger fleet two hosts of each region relay
+ * the reports and the store's changes.
  */
 public record GatewaySettings(String host, String dataCentre, String region, String regions,
 		InetSocketAddress callerAddress, InetSocketAddress readinessAddress, InetSocketAddress directoryAddress,
 		InetSocketAddress peerAddress, InetSocketAddress storeAddress, double storeMinimumLeaseSeconds,
 		int maximumDescriptors, double graceSeconds, double maximumTtlSeconds, double retryRatio, double retrySlack,
-		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds) {
+		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds,
+		int fullMeshHosts) {
 
 	/**
 	 * The descriptors of all settings of this group.
@@ -79,7 +83,9 @@
 			new Setting("departure-seconds", "MASTICLANE_DEPARTURE_SECONDS", "decimal", "2.5", 0L, 0L,
 					"The longest time in seconds for which a backend server may receive requests after its departure was recorded."),
 			new Setting("configuration-seconds", "MASTICLANE_CONFIGURATION_SECONDS", "decimal", "2.5", 0L, 0L,
-					"The longest time in seconds until a recorded configuration is in force."));
+					"The longest time in seconds until a recorded configuration is in force."),
+			new Setting("full-mesh-hosts", "MASTICLANE_FULL_MESH_HOSTS", "integer", "48", 1L, 10000L,
+					"The largest number of entry hosts that all report to each other and follow the store by themselves; in a larger fleet two hosts of each region relay the reports and the store's changes."));
 
 	/**
 	 * Reads the settings from a source.
@@ -93,6 +99,7 @@
 				source.decimal("store-minimum-lease-seconds"), source.integer("maximum-descriptors"),
 				source.decimal("grace-seconds"), source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"),
 				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"),
-				source.decimal("departure-seconds"), source.decimal("configuration-seconds"));
+				source.decimal("departure-seconds"), source.decimal("configuration-seconds"),
+				source.integer("full-mesh-hosts"));
 	}
 }
