Select the named entry hosts by capacity where a plan has downloads

Look-ups named all hosts of a region and callers pick one at random, so a host with 7 Mbit/s carried as much as one with 140. The platform states the limits of each host, and nothing read them.

The settings cpu-cores, cpu-share, memory-megabytes and bandwidth-megabits take the limits; a host's entry in the store carries them as three more fields, and an entry without them counts as of unknown capacity. HostSelection names the strongest hosts of the caller's data centre and one in another data centre of the region as a reserve, or those of the region if the data centre has too few, weak or too little. Plans without download routes get the same answers as before. Event 6115 and two gauges show the selection.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -176,6 +176,12 @@
 	 */
 	DATA_UNEXPECTED(6111, Severity.INFORMATION, "address={} connection={} calls={} data={}"),
 
+	/**
+	 * The entry hosts that look-ups name to callers of the own data centre changed, while
+	 * they are selected by capacity.
+	 */
+	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayEntry.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayEntry.java
@@ -10,13 +10,19 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Encodes and decodes the entry of a gateway in the store, in MessagePack.
+ * Encodes and decodes the entry of a gateway in the store, in MessagePack. Later versions
+ * append fields; an entry with fewer fields is that of an older version.
  */
 public final class GatewayEntry {
 
 	private static final String PREFIX = "masticlane/gateways/";
 
-	private static final int FIELDS = 9;
+	/**
+	 * The fields of an entry that a version without capacities writes.
+	 */
+	private static final int FIELDS_WITHOUT_CAPACITY = 9;
+
+	private static final int FIELDS = 12;
 
 	private GatewayEntry() {
 	}
@@ -55,7 +61,10 @@
 				.packInt(gateway.callerAddress().getPort())
 				.packString(gateway.peerAddress().getAddress().getHostAddress())
 				.packInt(gateway.peerAddress().getPort())
-				.packBoolean(gateway.leaving());
+				.packBoolean(gateway.leaving())
+				.packDouble(gateway.capacity().cores())
+				.packDouble(gateway.capacity().memoryMegabytes())
+				.packDouble(gateway.capacity().bandwidthMegabits());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -71,12 +80,15 @@
 	 */
 	public static Gateway decode(byte[] value) {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
-			if (unpacker.unpackArrayHeader() < FIELDS) {
+			int fields = unpacker.unpackArrayHeader();
+			if (fields < FIELDS_WITHOUT_CAPACITY) {
 				throw new IllegalArgumentException("the entry has too few fields");
 			}
 			return new Gateway(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(),
 					unpacker.unpackString(), IpAddress.of(unpacker.unpackString(), unpacker.unpackInt()),
-					IpAddress.of(unpacker.unpackString(), unpacker.unpackInt()), unpacker.unpackBoolean());
+					IpAddress.of(unpacker.unpackString(), unpacker.unpackInt()), unpacker.unpackBoolean(),
+					(fields < FIELDS) ? HostCapacity.UNKNOWN : new HostCapacity(unpacker.unpackDouble(),
+							unpacker.unpackDouble(), unpacker.unpackDouble()));
 		}
 		catch (IOException | MessagePackException ex) {
 			throw new IllegalArgumentException("the entry is not a valid MessagePack encoding of a gateway: " + ex, ex);
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -136,13 +136,32 @@
 	 * @return the gateways, empty only if none accepts callers
 	 */
 	public List<Gateway> availableGateways(String region, long now) {
-		List<Gateway> available = this.members.values()
+		List<Gateway> available = availableGateways(now);
+		Predicate<Gateway> inRegion = (gateway) -> gateway.region().equals(region);
+		return available.stream().anyMatch(inRegion) ? available.stream().filter(inRegion).toList() : available;
+	}
+
+	/**
+	 * Returns the gateways of all regions that accept callers.
+	 * @param now the current time in nanoseconds
+	 * @return the gateways in the order of their hosts, empty only if none accepts
+	 * callers
+	 */
+	public List<Gateway> availableGateways(long now) {
+		return this.members.values()
 			.stream()
 			.filter((gateway) -> acceptsCallers(gateway, now))
 			.sorted(Comparator.comparing(Gateway::host))
 			.toList();
-		Predicate<Gateway> inRegion = (gateway) -> gateway.region().equals(region);
-		return available.stream().anyMatch(inRegion) ? available.stream().filter(inRegion).toList() : available;
+	}
+
+	/**
+	 * Returns the largest known amount of each resource among all members, whether or not
+	 * they accept callers.
+	 * @return the amounts
+	 */
+	public HostCapacity largestCapacity() {
+		return HostCapacity.largest(this.members.values().stream().map(Gateway::capacity));
 	}
 
 	/**
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -2,8 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -21,6 +19,7 @@
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
+import io.masticlane.fleet.HostCapacity;
 import io.masticlane.peer.Peer;
 import io.masticlane.plan.CallerLimits;
 import io.masticlane.plan.TrafficPlan;
@@ -100,14 +99,14 @@
 
 	private volatile GatewaySettings currentSettings;
 
-	private Map<String, String> regions;
-
 	private final DecisionLog events;
 
 	private final GatewayFleet fleet;
 
 	private final GatewayContext gateway;
 
+	private final HostDirectory directory;
+
 	private final GatewayView view;
 
 	private final StoreFollower follower;
@@ -133,13 +132,13 @@
 	public GatewayDaemon(GatewaySettings settings, Platform platform, DecisionLog events) {
 		this.settings = settings;
 		this.currentSettings = settings;
-		this.regions = regions(settings.regions());
 		this.events = events;
 		this.fleet = new GatewayFleet(settings.host());
 		this.gateway = new GatewayContext(this.loop, platform.dialect(), settings, events, this.fleet);
+		this.directory = new HostDirectory(this.gateway, this.fleet, settings, this::isReady);
 		long followPauseMillis = GatewayTimes.followPauseMillis(settings);
-		this.view = new GatewayView(this.gateway, this.fleet, settings.host(), this::region, this::connectPeers,
-				followPauseMillis + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
+		this.view = new GatewayView(this.gateway, this.fleet, settings.host(), this.directory::region,
+				this::connectPeers, followPauseMillis + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
 		this.follower = new StoreFollower(this.loop, store, this.view, followPauseMillis);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
@@ -205,15 +204,7 @@
 
 	@Override
 	public Optional<byte[]> lookUp(Dialect.LookUp lookUp) {
-		String region = this.regions.getOrDefault(lookUp.dataCentre(), lookUp.region());
-		List<InetSocketAddress> addresses = this.fleet.availableGateways(region, System.nanoTime())
-			.stream()
-			.filter((member) -> isReady() || !member.host().equals(this.settings.host()))
-			.map(Gateway::callerAddress)
-			.toList();
-		double ttl = Math.min(GatewayTimes.LOOK_UP_TTL_SECONDS, this.currentSettings.maximumTtlSeconds());
-		return addresses.isEmpty() ? Optional.empty()
-				: Optional.of(this.gateway.dialect().lookUpResponse(addresses, ttl));
+		return this.directory.lookUp(lookUp);
 	}
 
 	@Override
@@ -229,22 +220,24 @@
 
 	private Gateway self() {
 		return new Gateway(this.settings.host(), this.incarnation, this.settings.dataCentre(), this.settings.region(),
-				this.settings.callerAddress(), this.settings.peerAddress(), this.gateway.isLeaving());
+				this.settings.callerAddress(), this.settings.peerAddress(), this.gateway.isLeaving(),
+				this.directory.capacity());
 	}
 
 	private void applySettings(GatewaySettings updated) {
 		SettingsChange change = SettingsChange.between(this.currentSettings, updated);
 		this.currentSettings = updated;
-		this.regions = regions(updated.regions());
 		this.gateway.settings(updated);
+		HostCapacity previous = this.directory.capacity();
+		this.directory.settings(updated);
+		if (!previous.equals(this.directory.capacity())) {
+			this.fleet.memberUpdated(self(), System.nanoTime());
+			this.registration.rewrite();
+		}
 		this.events.record(Event.SETTINGS_READ, String.join(",", change.inForce()),
 				String.join(",", change.nextStart()));
 	}
 
-	private String region(String dataCentre) {
-		return this.regions.getOrDefault(dataCentre, dataCentre);
-	}
-
 	private void connectPeers(List<Gateway> others) {
 		this.peers.connect(others);
 	}
@@ -285,6 +278,7 @@
 			forEachCaller(CallerHandler::closeIfIdle);
 		}
 		this.gateway.connections().closeExpired();
+		this.directory.recordChanges();
 		this.gateway.metrics().messageMemory(this.gateway.memory().usedBytes(), this.gateway.memory().limitBytes());
 		this.gateway.metrics().localFractions(this.gateway.placement().localFractions());
 		this.gateway.metrics()
@@ -412,16 +406,6 @@
 			.channel();
 	}
 
-	private static Map<String, String> regions(String text) {
-		Map<String, String> regions = new HashMap<>();
-		Arrays.stream(text.split(",")).map((entry) -> entry.trim().split(":", 2)).forEach((pair) -> {
-			if (pair.length == 2) {
-				regions.put(pair[0], pair[1]);
-			}
-		});
-		return Map.copyOf(regions);
-	}
-
 	/**
 	 * Notifies the timeout tracker of a connection when a request's head was decoded, and
 	 * marks a head that is larger than the plan in force allows.
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.masticlane.fleet.HostCapacity;
 import io.masticlane.operator.MetricsText;
 import io.masticlane.placement.Placement;
 import io.prometheus.metrics.core.metrics.Counter;
@@ -82,6 +83,18 @@
 		.labelNames("what")
 		.register(this.registry);
 
+	private final Gauge capacity = Gauge.builder()
+		.name("masticlane_gateway_capacity")
+		.help("Resources of the entry host according to its settings, 0 if unknown.")
+		.labelNames("resource")
+		.register(this.registry);
+
+	private final Gauge namedHosts = Gauge.builder()
+		.name("masticlane_gateway_named_hosts")
+		.help("Entry hosts that look-ups name to callers of the own data centre, by place.")
+		.labelNames("place")
+		.register(this.registry);
+
 	private final Gauge known = Gauge.builder()
 		.name("masticlane_gateway_known")
 		.help("Backend servers, entry hosts, rejected documents and age of the store's last answer in seconds.")
@@ -130,6 +143,17 @@
 		this.messageBytes.labelValues("limit").set(limitBytes);
 	}
 
+	void capacity(HostCapacity capacity) {
+		this.capacity.labelValues("cpu_cores").set(capacity.cores());
+		this.capacity.labelValues("memory_megabytes").set(capacity.memoryMegabytes());
+		this.capacity.labelValues("bandwidth_megabits").set(capacity.bandwidthMegabits());
+	}
+
+	void namedHosts(long inDataCentre, long elsewhere) {
+		this.namedHosts.labelValues("own_data_centre").set(inDataCentre);
+		this.namedHosts.labelValues("elsewhere").set(elsewhere);
+	}
+
 	void known(int servers, int members, int rejectedDocuments, double storeAgeSeconds, long droppedLines) {
 		this.known.labelValues("servers").set(servers);
 		this.known.labelValues("entry_hosts").set(members);
--- a/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
@@ -33,12 +33,18 @@
  * receive requests after its departure was recorded.
  * @param configurationSeconds The longest time in seconds until a recorded configuration
  * is in force.
+ * @param cpuCores The number of processor cores of the host, 0 if unknown.
+ * @param cpuShare The share of each core that the host may use, 0 if unknown: then whole
+ * cores count.
+ * @param memoryMegabytes The memory of the host in megabytes, 0 if unknown.
+ * @param bandwidthMegabits The bandwidth of the host's link in Mbit/s, 0 if unknown.
  */
 public record GatewaySettings(String host, String dataCentre, String region, String regions,
 		InetSocketAddress callerAddress, InetSocketAddress readinessAddress, InetSocketAddress directoryAddress,
 		InetSocketAddress peerAddress, InetSocketAddress storeAddress, double storeMinimumLeaseSeconds,
 		int maximumDescriptors, double graceSeconds, double maximumTtlSeconds, double retryRatio, double retrySlack,
-		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds) {
+		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds, double cpuCores,
+		double cpuShare, double memoryMegabytes, double bandwidthMegabits) {
 
 	/**
 	 * The descriptors of all settings of this group.
@@ -79,7 +85,15 @@
 			new Setting("departure-seconds", "MASTICLANE_DEPARTURE_SECONDS", "decimal", "2.5", 0L, 0L,
 					"The longest time in seconds for which a backend server may receive requests after its departure was recorded."),
 			new Setting("configuration-seconds", "MASTICLANE_CONFIGURATION_SECONDS", "decimal", "2.5", 0L, 0L,
-					"The longest time in seconds until a recorded configuration is in force."));
+					"The longest time in seconds until a recorded configuration is in force."),
+			new Setting("cpu-cores", "MASTICLANE_CPU_CORES", "decimal", "0", 0L, 0L,
+					"The number of processor cores of the host, 0 if unknown."),
+			new Setting("cpu-share", "MASTICLANE_CPU_SHARE", "decimal", "0", 0L, 0L,
+					"The share of each core that the host may use, 0 if unknown: then whole cores count."),
+			new Setting("memory-megabytes", "MASTICLANE_MEMORY_MEGABYTES", "decimal", "0", 0L, 0L,
+					"The memory of the host in megabytes, 0 if unknown."),
+			new Setting("bandwidth-megabits", "MASTICLANE_BANDWIDTH_MEGABITS", "decimal", "0", 0L, 0L,
+					"The bandwidth of the host's link in Mbit/s, 0 if unknown."));
 
 	/**
 	 * Reads the settings from a source.
@@ -93,6 +107,8 @@
 				source.decimal("store-minimum-lease-seconds"), source.integer("maximum-descriptors"),
 				source.decimal("grace-seconds"), source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"),
 				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"),
-				source.decimal("departure-seconds"), source.decimal("configuration-seconds"));
+				source.decimal("departure-seconds"), source.decimal("configuration-seconds"),
+				source.decimal("cpu-cores"), source.decimal("cpu-share"), source.decimal("memory-megabytes"),
+				source.decimal("bandwidth-megabits"));
 	}
 }
--- a/masticlane/src/main/java/io/masticlane/setting/SettingsChange.java
+++ b/masticlane/src/main/java/io/masticlane/setting/SettingsChange.java
@@ -14,7 +14,8 @@
 public record SettingsChange(List<String> inForce, List<String> nextStart) {
 
 	private static final Set<String> RELOADABLE = Set.of("regions", "maximum-descriptors", "grace-seconds",
-			"maximum-ttl-seconds", "retry-ratio", "retry-slack", "cold-overshoot", "cold-slack");
+			"maximum-ttl-seconds", "retry-ratio", "retry-slack", "cold-overshoot", "cold-slack", "cpu-cores",
+			"cpu-share", "memory-megabytes", "bandwidth-megabits");
 
 	/**
 	 * Compares two readings of the settings.
