Write an entry again when writing its changed content failed

A rewritten entry, whose capacity or state had changed, was lost if the call to the store failed: renewals of the lease keep the former content. The write is repeated until it succeeds or the gateway stops.

--- a/masticlane/src/main/java/io/masticlane/gateway/Registration.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Registration.java
@@ -59,13 +59,14 @@
 	}
 
 	/**
-	 * Writes the entry again after its content changed.
+	 * Writes the entry again after its content changed. A failed write is repeated, since
+	 * renewals of the lease would keep the former content.
 	 */
 	void rewrite() {
-		if (this.lease != NO_LEASE) {
+		if (this.lease != NO_LEASE && !this.stopped) {
 			put().whenComplete((written, failure) -> {
 				if (failure != null) {
-					this.failureListener.accept(this.lease, String.valueOf(failure.getMessage()));
+					retry(this::rewrite, "the entry was not written", failure);
 				}
 			});
 		}
