--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -181,6 +181,12 @@
 	 */
 	RELAYS_CHANGED(6112, Severity.INFORMATION, "reports={} relay={} relays={}"),
 
+	/**
+	 * The entry hosts that look-ups name to callers of the own data centre changed, while
+	 * they are selected by capacity.
+	 */
+	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/fleet/RelayTopology.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/RelayTopology.java
@@ -39,7 +39,14 @@
 	 */
 	static final long DIAL_BACK_NANOS = CONNECT_NANOS / 2;
 
-	private static final Comparator<Gateway> ORDER = Comparator.comparing(Gateway::host);
+	/**
+	 * Relays forward the reports of all hosts, which takes the link and the processor of
+	 * the strongest ones least.
+	 */
+	private static final Comparator<Gateway> ORDER = Comparator
+		.comparingDouble((Gateway gateway) -> -gateway.capacity().bandwidthMegabits())
+		.thenComparingDouble((gateway) -> -gateway.capacity().cores())
+		.thenComparing(Gateway::host);
 
 	private final String host;
 
--- a/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
+++ b/masticlane/src/main/java/io/masticlane/setting/GatewaySettings.java
@@ -36,13 +36,18 @@
  * @param fullMeshHosts The largest number of entry hosts that all report to each other
  * and follow the store by themselves; in a larger fleet two hosts of each region relay
  * the reports and the store's changes.
+ * @param cpuCores The number of processor cores of the host, 0 if unknown.
+ * @param cpuShare The share of each core that the host may use, 0 if unknown: then whole
+ * cores count.
+ * @param memoryMegabytes The memory of the host in megabytes, 0 if unknown.
+ * @param bandwidthMegabits The bandwidth of the host's link in Mbit/s, 0 if unknown.
  */
 public record GatewaySettings(String host, String dataCentre, String region, String regions,
 		InetSocketAddress callerAddress, InetSocketAddress readinessAddress, InetSocketAddress directoryAddress,
 		InetSocketAddress peerAddress, InetSocketAddress storeAddress, double storeMinimumLeaseSeconds,
 		int maximumDescriptors, double graceSeconds, double maximumTtlSeconds, double retryRatio, double retrySlack,
-		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds,
-		int fullMeshHosts) {
+		double coldOvershoot, double coldSlack, double departureSeconds, double configurationSeconds, int fullMeshHosts,
+		double cpuCores, double cpuShare, double memoryMegabytes, double bandwidthMegabits) {
 
 	/**
 	 * The descriptors of all settings of this group.
@@ -85,7 +90,15 @@
 			new Setting("configuration-seconds", "MASTICLANE_CONFIGURATION_SECONDS", "decimal", "2.5", 0L, 0L,
 					"The longest time in seconds until a recorded configuration is in force."),
 			new Setting("full-mesh-hosts", "MASTICLANE_FULL_MESH_HOSTS", "integer", "48", 1L, 10000L,
-					"The largest number of entry hosts that all report to each other and follow the store by themselves; in a larger fleet two hosts of each region relay the reports and the store's changes."));
+					"The largest number of entry hosts that all report to each other and follow the store by themselves; in a larger fleet two hosts of each region relay the reports and the store's changes."),
+			new Setting("cpu-cores", "MASTICLANE_CPU_CORES", "decimal", "0", 0L, 0L,
+					"The number of processor cores of the host, 0 if unknown."),
+			new Setting("cpu-share", "MASTICLANE_CPU_SHARE", "decimal", "0", 0L, 0L,
+					"The share of each core that the host may use, 0 if unknown: then whole cores count."),
+			new Setting("memory-megabytes", "MASTICLANE_MEMORY_MEGABYTES", "decimal", "0", 0L, 0L,
+					"The memory of the host in megabytes, 0 if unknown."),
+			new Setting("bandwidth-megabits", "MASTICLANE_BANDWIDTH_MEGABITS", "decimal", "0", 0L, 0L,
+					"The bandwidth of the host's link in Mbit/s, 0 if unknown."));
 
 	/**
 	 * Reads the settings from a source.
@@ -100,6 +113,7 @@
 				source.decimal("grace-seconds"), source.decimal("maximum-ttl-seconds"), source.decimal("retry-ratio"),
 				source.decimal("retry-slack"), source.decimal("cold-overshoot"), source.decimal("cold-slack"),
 				source.decimal("departure-seconds"), source.decimal("configuration-seconds"),
-				source.integer("full-mesh-hosts"));
+				source.integer("full-mesh-hosts"), source.decimal("cpu-cores"), source.decimal("cpu-share"),
+				source.decimal("memory-megabytes"), source.decimal("bandwidth-megabits"));
 	}
 }
