--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -90,7 +90,7 @@
 		this.self = new Peer(described.host(), described.incarnation());
 		this.topology = new RelayTopology(described.host());
 		this.network = new PeerNetwork(loops, this.self, GatewayTimes.PEER_IDLE_TIMEOUT_MILLIS, this, gateway.events());
-		this.storeRelay = new StoreRelay(gateway.dialect(), view);
+		this.storeRelay = new StoreRelay(gateway.dialect()::key, gateway.dialect()::server, view::serverConfirmed);
 		store.forwardTo(this::forwardStoreChanges);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreRelay.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreRelay.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.masticlane.message.MalformedMessageException;
 import io.masticlane.message.Message;
@@ -27,15 +30,26 @@
 
 	private static final String SEPARATOR = " ";
 
-	private final Dialect dialect;
+	private final Function<String, Dialect.StoreKey> keys;
 
-	private final GatewayView view;
+	private final BiFunction<String, byte[], RegisteredServer> servers;
+
+	private final Consumer<String> confirmed;
 
 	private final Map<String, RegisteredServer> forwarded = new HashMap<>();
 
-	StoreRelay(Dialect dialect, GatewayView view) {
-		this.dialect = dialect;
-		this.view = view;
+	/**
+	 * Creates a relay.
+	 * @param keys classifies a key of the store
+	 * @param servers parses the entry of a server, by its identifier
+	 * @param confirmed receives the identifier of each server that wrote its entry again
+	 * unchanged
+	 */
+	StoreRelay(Function<String, Dialect.StoreKey> keys, BiFunction<String, byte[], RegisteredServer> servers,
+			Consumer<String> confirmed) {
+		this.keys = keys;
+		this.servers = servers;
+		this.confirmed = confirmed;
 	}
 
 	/**
@@ -52,12 +66,12 @@
 	 * receivers then read the store themselves
 	 */
 	Optional<Message.StoreChanges> encode(StoreFollower.Batch batch) {
-		List<String> confirmed = new ArrayList<>();
+		List<String> unchanged = new ArrayList<>();
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			for (SharedState.Item item : batch.items()) {
-				Dialect.StoreKey key = this.dialect.key(item.key());
+				Dialect.StoreKey key = this.keys.apply(item.key());
 				if (key.kind() == Dialect.StoreKey.Kind.SERVER && isUnchanged(key.name(), item.value())) {
-					confirmed.add(key.name());
+					unchanged.add(key.name());
 					continue;
 				}
 				packer.packString(item.key());
@@ -70,7 +84,7 @@
 				}
 			}
 			Message.StoreChanges message = new Message.StoreChanges(batch.after(), batch.position(), batch.recovered(),
-					packer.toByteArray(), String.join(SEPARATOR, confirmed));
+					packer.toByteArray(), String.join(SEPARATOR, unchanged));
 			if (MessageFrame.encode(message).length > MessageFrame.MAXIMUM_BYTES) {
 				reset();
 				return Optional.empty();
@@ -108,9 +122,7 @@
 	 * @param message the message
 	 */
 	void confirm(Message.StoreChanges message) {
-		Arrays.stream(message.confirmed().split(SEPARATOR))
-			.filter((id) -> !id.isEmpty())
-			.forEach(this.view::serverConfirmed);
+		Arrays.stream(message.confirmed().split(SEPARATOR)).filter((id) -> !id.isEmpty()).forEach(this.confirmed);
 	}
 
 	private boolean isUnchanged(String id, Optional<byte[]> value) {
@@ -124,7 +136,7 @@
 
 	private Optional<RegisteredServer> parse(String id, byte[] document) {
 		try {
-			return Optional.of(this.dialect.server(id, document).withSequence(0));
+			return Optional.of(this.servers.apply(id, document).withSequence(0));
 		}
 		catch (IllegalArgumentException ex) {
 			return Optional.empty();
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -17,6 +17,8 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 public class StoreFollowerTests {
 
@@ -57,6 +59,42 @@
 		Await.until("a snapshot is received", () -> this.recorder.snapshots.get() == 1);
 	}
 
+	/**
+	 * Guards against a host that reads the store although its relays do, and against one
+	 * that learns nothing when they stop.
+	 */
+	@Test
+	public void changesFromARelayReplaceOwnReadsUntilTheyStop() throws InterruptedException {
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 200);
+		this.loop.execute(follower::start);
+		Await.until("a first read", () -> this.store.position == 1);
+		for (int position = 2; position < 12; position++) {
+			int next = position;
+			this.loop.execute(() -> follower
+				.apply(new StoreFollower.Batch(next - 1, next, List.of(item("relayed-" + next)), false)));
+			Thread.sleep(60);
+		}
+		assertEquals(this.store.position, 1);
+		Await.until("own reads follow", () -> this.store.position > 1);
+		assertEquals(this.recorder.changed.size(), 10);
+	}
+
+	/**
+	 * Guards against changes that are skipped when a relay's message was lost.
+	 */
+	@Test
+	public void changesFromARelayAreNotAppliedAfterAGap() throws Exception {
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 5_000);
+		this.loop.execute(follower::start);
+		Await.until("a first read", () -> this.store.position == 1);
+		assertFalse(this.loop.submit(() -> follower.apply(new StoreFollower.Batch(4, 6, List.of(item("late")), false)))
+			.get());
+		assertTrue(this.loop.submit(() -> follower.apply(new StoreFollower.Batch(0, 6, List.of(item("next")), false)))
+			.get());
+		assertEquals(this.recorder.changed, List.of("next"));
+		assertEquals(follower.position(), 6);
+	}
+
 	private static SharedState.Item item(String key) {
 		return new SharedState.Item(key, Optional.of(new byte[0]));
 	}
@@ -110,7 +148,7 @@
 
 		private final List<List<Item>> batches = new ArrayList<>();
 
-		private int position;
+		private volatile int position;
 
 		@Override
 		public CompletableFuture<Page> page(String prefix, String after) {
