Split the handler of callers' connections

CallerHandler held the order of a connection's requests, the format of their responses and the writes in one class of 445 lines, with one request in flight built into its fields. CallerExchange now holds one request and its response, RequestSequence the order, and ResponseSender the writes and the end of the connection. No change in behaviour: CallerHandlerTests, ConnectionEndTests and GatewayStopTests pass; the first names the type of the exchange instead of that of the handler.

--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -1,33 +1,11 @@
 package io.masticlane.gateway;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Locale;
-import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
-import io.masticlane.caller.Headers;
-import io.masticlane.caller.LingeringClose;
-import io.masticlane.caller.RefusedRequest;
-import io.masticlane.failure.ErrorKind;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -35,56 +13,17 @@
  */
 final class CallerHandler extends SimpleChannelInboundHandler<Object> {
 
-	/**
-	 * The limit of pipelined requests that wait on a connection. Those beyond it are not
-	 * run, and the connection is closed after the responses to the others.
-	 */
-	private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
-
 	private final Processor processor;
 
 	private final BooleanSupplier leaving;
 
 	private final ReadTimeoutTracker timeouts;
 
-	/**
-	 * The requests that wait for the response to an earlier one, including the next one
-	 * until it is begun, so that none can overtake it.
-	 */
-	private final Deque<Object> pipelined = new ArrayDeque<>();
+	private final RequestSequence requests = new RequestSequence();
 
 	private ChannelHandlerContext context;
 
-	private Processing current;
-
-	private boolean keepAlive;
-
-	private boolean headRequest;
-
-	/**
-	 * Whether requests beyond the limit of pipelined ones were left out.
-	 */
-	private boolean overfull;
-
-	/**
-	 * Whether nothing more is processed, and the connection ends after the last write.
-	 */
-	private boolean closing;
-
-	private ChannelFuture lastWrite;
-
-	/**
-	 * The processing of the response after which the connection ends, until it is known
-	 * whether the caller received it.
-	 */
-	private Processing unconfirmed;
-
-	/**
-	 * The progress of the response that is being written, when it was last looked at.
-	 */
-	private long writeProgress;
-
-	private Disconnection disconnection = Disconnection.CALLER;
+	private ResponseSender responses;
 
 	/**
 	 * Creates a handler.
@@ -101,89 +40,44 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
-		this.lastWrite = added.newSucceededFuture();
+		this.responses = new ResponseSender(added);
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
-		if (this.closing || this.overfull) {
+		if (this.responses.isClosing() || this.requests.isOverfull()) {
 			// The connection ends with an earlier response.
 			return;
 		}
 		this.timeouts.requestReceived();
-		if (this.current == null && this.pipelined.isEmpty()) {
-			begin(message);
+		boolean first = this.requests.isEmpty();
+		CallerExchange exchange = new CallerExchange(ReferenceCountUtil.retain(message), this::finished);
+		if (!this.requests.add(exchange)) {
+			exchange.discard();
 		}
-		else if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-			this.overfull = true;
-		}
-		else {
-			this.pipelined.add(ReferenceCountUtil.retain(message));
+		else if (first) {
+			startNext();
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
-		discardPipelined();
-		if (this.current != null) {
-			Processing disconnected = this.current;
-			this.current = null;
-			disconnected.callerDisconnected(this.disconnection);
-		}
+		this.requests.discardWaiting();
+		this.requests.removeStarted()
+			.map(CallerExchange::processing)
+			.ifPresent((processing) -> processing.callerDisconnected(this.responses.disconnection()));
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
-		close((cause instanceof IOException) ? Disconnection.CALLER : Disconnection.EXCEPTION);
-	}
-
-	/**
-	 * Forwards the response of a backend server to the caller. A response that ends with
-	 * its connection gets no length, since it may have broken off.
-	 * @param response the response, whose content this method retains
-	 */
-	void forwardResponse(FullHttpResponse response) {
-		FullHttpResponse copy = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(),
-				response.content().retain());
-		copy.headers().set(response.headers());
-		Headers.removeHopByHop(copy.headers());
-		copy.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-		boolean withoutBody = this.headRequest || response.status().equals(HttpResponseStatus.NO_CONTENT)
-				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-		this.keepAlive &= framed || withoutBody;
-		if (framed || withoutBody) {
-			setContentLength(copy);
-			finish(copy);
-		}
-		else {
-			LingeringClose.resetOnClose(this.context.channel(), true);
-			finish(copy);
-			this.lastWrite.addListener((written) -> LingeringClose.resetOnClose(this.context.channel(), false));
-		}
-	}
-
-	/**
-	 * Sends an error response of the gateway itself.
-	 * @param status the status
-	 * @param text the reason in one line
-	 * @param retryAfterSeconds the delay after which the caller may retry, if it may
-	 */
-	void sendError(HttpResponseStatus status, String text, OptionalDouble retryAfterSeconds) {
-		ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-		retryAfterSeconds.ifPresent((seconds) -> response.headers()
-			.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds)));
-		setContentLength(response);
-		finish(response);
+		this.responses.close((cause instanceof IOException) ? Disconnection.CALLER : Disconnection.EXCEPTION);
 	}
 
 	/**
 	 * Closes the connection unless a request on it is in flight or has been read in part.
 	 */
 	void closeIfIdle() {
-		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
+		if (this.requests.isEmpty() && !this.timeouts.isReading()) {
 			closeAfterLastWrite();
 		}
 	}
@@ -193,15 +87,14 @@
 	 * reading a response.
 	 */
 	void closeTimedOut() {
-		if (this.lastWrite.isDone()) {
+		if (this.responses.isWritten()) {
 			closeAfterLastWrite();
 		}
-		else if (this.writeProgress != currentWriteProgress()) {
-			this.writeProgress = currentWriteProgress();
+		else if (this.responses.hasProgressed()) {
 			this.timeouts.responseProgressed();
 		}
 		else {
-			close(Disconnection.TIMEOUT);
+			this.responses.close(Disconnection.TIMEOUT);
 		}
 	}
 
@@ -211,7 +104,7 @@
 	 * @return whether the end of the connection is awaited
 	 */
 	boolean isAwaited() {
-		return !this.closing || !this.lastWrite.isDone() || this.unconfirmed != null;
+		return this.responses.isAwaited();
 	}
 
 	/**
@@ -219,147 +112,44 @@
 	 * process.
 	 */
 	void processEnds() {
-		if (!this.lastWrite.isDone()) {
-			close(Disconnection.PROCESS_END);
-		}
-		else {
-			reportUnconfirmed(Disconnection.PROCESS_END);
-		}
+		this.responses.processEnds();
 	}
 
 	/**
 	 * Ends the request in flight, if there is one, since the process ends.
 	 */
 	void endInFlight() {
-		if (this.current != null) {
-			this.current.gatewayEnds();
-		}
+		this.requests.started().map(CallerExchange::processing).ifPresent(Processing::gatewayEnds);
 	}
 
-	/**
-	 * Returns the time at which the first byte of the last request was read.
-	 * @return the time in nanoseconds
-	 */
-	long requestBegunAt() {
-		return this.timeouts.requestBegunAt();
+	private void startNext() {
+		this.requests.startNext().ifPresent((next) -> next.start(this.processor, this.timeouts.requestBegunAt()));
 	}
 
-	private void begin(Object message) {
-		if (message instanceof FullHttpRequest request) {
-			begin(request);
+	private void finished(CallerExchange exchange) {
+		this.requests.removeStarted();
+		this.timeouts.responseSent();
+		boolean last = !exchange.keepsAlive()
+				|| !this.requests.hasWaiting() && (this.requests.isOverfull() || this.leaving.getAsBoolean());
+		this.responses.send(exchange, last);
+		if (last) {
+			this.requests.discardWaiting();
 		}
-		else if (message instanceof RefusedRequest refused) {
-			this.headRequest = false;
-			this.keepAlive = false;
-			if (refused.refusal().kind() == ErrorKind.TOO_LARGE) {
-				sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
-			}
-			else {
-				sendError(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: no memory for the body", OptionalDouble
-					.of(refused.refusal().retryAfterMillis() / (double) TimeUnit.SECONDS.toMillis(1)));
-			}
+		else if (this.requests.hasWaiting()) {
+			this.context.executor().execute(this::startWaiting);
 		}
 	}
 
-	private void beginNext() {
-		Object next = this.pipelined.poll();
-		if (next != null) {
+	private void startWaiting() {
+		if (this.requests.hasWaiting()) {
 			this.timeouts.requestReceived();
-			begin(next);
-			ReferenceCountUtil.release(next);
-		}
-	}
-
-	private void begin(FullHttpRequest request) {
-		Throwable decoderFailure = request.decoderResult().cause();
-		this.headRequest = request.method().name().equals("HEAD");
-		this.keepAlive = decoderFailure == null && HttpUtil.isKeepAlive(request);
-		if (decoderFailure != null) {
-			boolean tooLong = decoderFailure instanceof TooLongHttpHeaderException
-					|| decoderFailure instanceof TooLongHttpLineException;
-			sendError(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-					"the request cannot be read", OptionalDouble.empty());
-			return;
-		}
-		Processing processing = this.processor.create(this, request);
-		this.current = processing;
-		processing.start();
-	}
-
-	private void close(Disconnection reason) {
-		this.disconnection = reason;
-		this.context.close();
-	}
-
-	private void finish(FullHttpResponse response) {
-		Processing answered = this.current;
-		this.current = null;
-		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.pipelined.isEmpty() && (this.overfull || this.leaving.getAsBoolean());
-		if (close) {
-			response.headers().set(HttpHeaderNames.CONNECTION, "close");
-		}
-		this.lastWrite = this.context.writeAndFlush(response).addListener((written) -> {
-			if (!written.isSuccess()) {
-				this.unconfirmed = null;
-				reportCut(answered);
-				this.context.close();
-			}
-		});
-		this.writeProgress = currentWriteProgress();
-		if (close) {
-			this.unconfirmed = answered;
-			closeAfterLastWrite();
-		}
-		else if (!this.pipelined.isEmpty()) {
-			this.context.executor().execute(this::beginNext);
+			startNext();
 		}
 	}
 
-	private long currentWriteProgress() {
-		ChannelOutboundBuffer unwritten = this.context.channel().unsafe().outboundBuffer();
-		return (unwritten != null) ? unwritten.currentProgress() : 0;
-	}
-
 	private void closeAfterLastWrite() {
-		if (!this.closing) {
-			this.closing = true;
-			discardPipelined();
-			LingeringClose.after(this.lastWrite, this::connectionClosed);
-		}
-	}
-
-	private void connectionClosed(LingeringClose.Outcome outcome) {
-		if (outcome == LingeringClose.Outcome.RESET) {
-			reportUnconfirmed(Disconnection.CALLER);
-		}
-		else if (outcome == LingeringClose.Outcome.TIMED_OUT) {
-			reportUnconfirmed(Disconnection.TIMEOUT);
-		}
-	}
-
-	private void reportCut(Processing answered) {
-		if (answered != null && this.disconnection != Disconnection.CALLER) {
-			answered.responseCut(this.disconnection);
-		}
-	}
-
-	private void reportUnconfirmed(Disconnection reason) {
-		if (this.unconfirmed != null) {
-			this.unconfirmed.responseUnconfirmed(reason);
-			this.unconfirmed = null;
-		}
-	}
-
-	private void setContentLength(FullHttpResponse response) {
-		if (!this.headRequest) {
-			HttpUtil.setContentLength(response, response.content().readableBytes());
-		}
-	}
-
-	private void discardPipelined() {
-		this.pipelined.forEach(ReferenceCountUtil::release);
-		this.pipelined.clear();
+		this.requests.discardWaiting();
+		this.responses.closeAfterLastWrite();
 	}
 
 	/**
@@ -370,11 +160,11 @@
 
 		/**
 		 * Creates the processing of a request.
-		 * @param caller the connection, which receives exactly one response
+		 * @param caller the exchange, which receives exactly one response
 		 * @param request the request, which the processing retains
 		 * @return the processing, not yet started
 		 */
-		Processing create(CallerHandler caller, FullHttpRequest request);
+		Processing create(CallerExchange caller, FullHttpRequest request);
 
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -34,7 +34,7 @@
 
 	private final GatewayContext gateway;
 
-	private final CallerHandler caller;
+	private final CallerExchange caller;
 
 	private final FullHttpRequest request;
 
@@ -64,12 +64,12 @@
 
 	private boolean finished;
 
-	ProxiedRequest(GatewayContext gateway, CallerHandler caller, FullHttpRequest request) {
+	ProxiedRequest(GatewayContext gateway, CallerExchange caller, FullHttpRequest request) {
 		this.gateway = gateway;
 		this.caller = caller;
 		this.request = request.retain();
 		this.clock = new RequestClock(System.nanoTime(), gateway::stop);
-		this.begunAt = caller.requestBegunAt();
+		this.begunAt = caller.begunAt();
 	}
 
 	@Override
--- a/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/CallerHandlerTests.java
@@ -39,7 +39,7 @@
 
 	private List<String> cut;
 
-	private Map<String, CallerHandler> waiting;
+	private Map<String, CallerExchange> waiting;
 
 	private CallerHandler handler;
 
@@ -170,7 +170,7 @@
 		return writes;
 	}
 
-	private CallerHandler.Processing process(CallerHandler caller, FullHttpRequest request) {
+	private CallerHandler.Processing process(CallerExchange caller, FullHttpRequest request) {
 		String uri = request.uri();
 		return new CallerHandler.Processing() {
 
