Run pipelined idempotent requests concurrently

A caller's requests on one connection ran one after the other, and the clock of each started when its turn came: five with 80 to 330 ms of work took 1,182 ms, and a server behind one of 1,200 ms was told 2,500 ms.

Idempotent requests of a connection now run concurrently, responses leave in the order of the requests, and time counts from the last byte. Other requests wait for those before and hold those behind. What is behind a response that closes the connection is cancelled or not started. Metric masticlane_gateway_pipelined_requests_total, event 6209.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -222,6 +222,13 @@
 	 */
 	RESPONSE_UNCONFIRMED(6208, Severity.INFORMATION, "request={} reason={} route={} age_ms={}"),
 
+	/**
+	 * Pipelined requests of a caller stay without a response, since the connection is
+	 * closed after an earlier response.
+	 */
+	PIPELINED_REQUESTS_DROPPED(6209, Severity.INFORMATION,
+			"caller={} reason={} cancelled={} not_started={} waiting_limit={}"),
+
 	/**
 	 * Log lines were dropped.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerExchange.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -27,6 +28,12 @@
  */
 final class CallerExchange {
 
+	/**
+	 * The memory of a response beside its body, in bytes. It makes empty responses count,
+	 * of which a caller that never reads could otherwise cause any number.
+	 */
+	private static final long HEAD_BYTES = 1_024;
+
 	private final Object message;
 
 	private final Consumer<CallerExchange> listener;
@@ -37,55 +44,91 @@
 
 	private boolean framed = true;
 
-	private long begunAt;
+	private final long begunAt;
+
+	private final long arrivedAt;
 
 	private CallerHandler.Processing processing;
 
 	private FullHttpResponse response;
 
+	private long responseBytes;
+
+	private boolean started;
+
+	private boolean dropped;
+
 	/**
 	 * Creates an exchange.
 	 * @param message the request, or a {@link RefusedRequest}, which is released when the
-	 * exchange is started or discarded
+	 * exchange is started or dropped
+	 * @param begunAt the time at which the first byte of the request was read, in
+	 * nanoseconds
+	 * @param arrivedAt the time at which its last byte was read, in nanoseconds
 	 * @param listener receives the exchange when its response is complete
 	 */
-	CallerExchange(Object message, Consumer<CallerExchange> listener) {
+	CallerExchange(Object message, long begunAt, long arrivedAt, Consumer<CallerExchange> listener) {
 		this.message = message;
+		this.begunAt = begunAt;
+		this.arrivedAt = arrivedAt;
 		this.listener = listener;
 		FullHttpRequest request = (message instanceof FullHttpRequest whole) ? whole : null;
 		this.headRequest = request != null && request.method().name().equals("HEAD");
-		this.keepAlive = request != null && request.decoderResult().cause() == null && HttpUtil.isKeepAlive(request);
+		this.keepAlive = request != null && decoderFailure() == null && HttpUtil.isKeepAlive(request);
 	}
 
 	/**
 	 * Starts the processing of the request, or refuses one that was not read completely.
 	 * @param processor creates the processing
-	 * @param firstByteAt the time at which the first byte of the request was read, in
-	 * nanoseconds
 	 */
-	void start(CallerHandler.Processor processor, long firstByteAt) {
-		this.begunAt = firstByteAt;
-		if (this.message instanceof RefusedRequest refused) {
-			refuse(refused);
-		}
-		else if (this.message instanceof FullHttpRequest request) {
-			Throwable failure = request.decoderResult().cause();
-			if (failure != null) {
+	void start(CallerHandler.Processor processor) {
+		this.started = true;
+		try {
+			Throwable failure = decoderFailure();
+			if (this.message instanceof RefusedRequest refused) {
+				refuse(refused);
+			}
+			else if (failure != null) {
 				refuse(failure);
 			}
-			else {
+			else if (this.message instanceof FullHttpRequest request) {
 				this.processing = processor.create(this, request);
 				this.processing.start();
 			}
 		}
-		ReferenceCountUtil.release(this.message);
+		finally {
+			ReferenceCountUtil.release(this.message);
+		}
 	}
 
 	/**
-	 * Discards a request that was not started.
+	 * Ends the exchange without a response: a request that runs is ended as if its caller
+	 * had left.
+	 * @param reason why there is no response
 	 */
-	void discard() {
-		ReferenceCountUtil.release(this.message);
+	void drop(CallerHandler.Disconnection reason) {
+		this.dropped = true;
+		if (!this.started) {
+			ReferenceCountUtil.release(this.message);
+		}
+		else if (this.response == null) {
+			processing().ifPresent((running) -> running.callerDisconnected(reason));
+		}
+		else {
+			this.response.release();
+			if (reason.isByGateway()) {
+				processing().ifPresent((answered) -> answered.responseCut(reason));
+			}
+		}
+	}
+
+	/**
+	 * Ends a request that runs with a response, since the process ends.
+	 */
+	void gatewayEnds() {
+		if (this.response == null && !this.dropped) {
+			processing().ifPresent(CallerHandler.Processing::gatewayEnds);
+		}
 	}
 
 	/**
@@ -134,6 +177,36 @@
 		return this.begunAt;
 	}
 
+	/**
+	 * Returns the time at which the last byte of the request was read.
+	 * @return the time in nanoseconds
+	 */
+	long arrivedAt() {
+		return this.arrivedAt;
+	}
+
+	/**
+	 * Returns whether the request, which was started, may run more than once.
+	 * @return whether others may run concurrently
+	 */
+	boolean isIdempotent() {
+		return processing().map(CallerHandler.Processing::isIdempotent).orElse(false);
+	}
+
+	/**
+	 * Returns whether the request, which is to be started, may run more than once.
+	 * @param processor tells which requests are idempotent
+	 * @return whether it may run concurrently with others
+	 */
+	boolean isIdempotent(CallerHandler.Processor processor) {
+		return this.message instanceof FullHttpRequest request && request.decoderResult().isSuccess()
+				&& processor.isIdempotent(request);
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
 	/**
 	 * Returns whether the connection may stay open after the response, as far as is
 	 * known.
@@ -154,10 +227,11 @@
 
 	/**
 	 * Returns the processing of the request.
-	 * @return the processing, or {@code null} if the request was not read completely
+	 * @return the processing, or empty if the request was not started or not read
+	 * completely
 	 */
-	CallerHandler.Processing processing() {
-		return this.processing;
+	Optional<CallerHandler.Processing> processing() {
+		return Optional.ofNullable(this.processing);
 	}
 
 	/**
@@ -168,6 +242,18 @@
 		return this.response;
 	}
 
+	/**
+	 * Returns the memory that the complete response occupies until it has left.
+	 * @return the number of bytes, with an estimate for the head
+	 */
+	long responseBytes() {
+		return this.responseBytes;
+	}
+
+	private Throwable decoderFailure() {
+		return (this.message instanceof FullHttpRequest request) ? request.decoderResult().cause() : null;
+	}
+
 	private void refuse(RefusedRequest refused) {
 		if (refused.refusal().kind() == ErrorKind.TOO_LARGE) {
 			sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
@@ -186,7 +272,12 @@
 	}
 
 	private void finish(FullHttpResponse complete) {
+		if (this.dropped) {
+			complete.release();
+			return;
+		}
 		this.response = complete;
+		this.responseBytes = HEAD_BYTES + complete.content().readableBytes();
 		this.listener.accept(this);
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -1,15 +1,19 @@
 package io.masticlane.gateway;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Handles the connection of a caller and processes its requests one after the other.
+ * Handles the connection of a caller: starts its requests when their turn comes and sends
+ * the responses in the order of the requests.
  */
 final class CallerHandler extends SimpleChannelInboundHandler<Object> {
 
@@ -19,53 +23,84 @@
 
 	private final ReadTimeoutTracker timeouts;
 
-	private final RequestSequence requests = new RequestSequence();
+	private final RequestSequence requests;
+
+	private final PipelineEvents events;
 
 	private ChannelHandlerContext context;
 
 	private ResponseSender responses;
 
+	/**
+	 * Whether the process ends, so that no request is given to a server.
+	 */
+	private boolean ending;
+
+	/**
+	 * The number of requests that were started and stay without a response, since an
+	 * earlier response closes the connection.
+	 */
+	private int cancelled;
+
+	/**
+	 * The number of requests that are not started, for the same reason.
+	 */
+	private int notStarted;
+
 	/**
 	 * Creates a handler.
 	 * @param processor starts the processing of each request
 	 * @param leaving whether the gateway is leaving, after which connections are closed
 	 * @param timeouts tracks the timeouts of the connection
+	 * @param requests the requests of the connection
+	 * @param events counts and logs pipelined requests
 	 */
-	CallerHandler(Processor processor, BooleanSupplier leaving, ReadTimeoutTracker timeouts) {
+	CallerHandler(Processor processor, BooleanSupplier leaving, ReadTimeoutTracker timeouts, RequestSequence requests,
+			PipelineEvents events) {
 		this.processor = processor;
 		this.leaving = leaving;
 		this.timeouts = timeouts;
+		this.requests = requests;
+		this.events = events;
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
-		this.responses = new ResponseSender(added);
+		this.responses = new ResponseSender(added, this::scheduleStart);
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
-		if (this.responses.isClosing() || this.requests.isOverfull()) {
+		if (this.responses.isClosing()) {
 			// The connection ends with an earlier response.
 			return;
 		}
+		if (this.requests.isEnded()) {
+			leaveOut();
+			return;
+		}
 		this.timeouts.requestReceived();
-		boolean first = this.requests.isEmpty();
-		CallerExchange exchange = new CallerExchange(ReferenceCountUtil.retain(message), this::finished);
+		CallerExchange exchange = new CallerExchange(ReferenceCountUtil.retain(message), this.timeouts.requestBegunAt(),
+				System.nanoTime(), this::finished);
 		if (!this.requests.add(exchange)) {
-			exchange.discard();
+			exchange.drop(Disconnection.EARLIER_RESPONSE);
+			leaveOut();
+			return;
+		}
+		startWaiting();
+		if (!exchange.isStarted()) {
+			this.events.waited();
 		}
-		else if (first) {
-			startNext();
+		if (!this.requests.hasStarted() && this.requests.hasWaiting()) {
+			// What it waits for is that the caller reads, which is limited in time.
+			this.timeouts.responseSent();
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
-		this.requests.discardWaiting();
-		this.requests.removeStarted()
-			.map(CallerExchange::processing)
-			.ifPresent((processing) -> processing.callerDisconnected(this.responses.disconnection()));
+		this.requests.removeAll().forEach((exchange) -> exchange.drop(this.responses.disconnection()));
 	}
 
 	@Override
@@ -78,7 +113,7 @@
 	 */
 	void closeIfIdle() {
 		if (this.requests.isEmpty() && !this.timeouts.isReading()) {
-			closeAfterLastWrite();
+			this.responses.closeAfterLastWrite();
 		}
 	}
 
@@ -88,7 +123,10 @@
 	 */
 	void closeTimedOut() {
 		if (this.responses.isWritten()) {
-			closeAfterLastWrite();
+			// A request that waited for the responses to be read is about to start.
+			if (this.requests.isEmpty()) {
+				this.responses.closeAfterLastWrite();
+			}
 		}
 		else if (this.responses.hasProgressed()) {
 			this.timeouts.responseProgressed();
@@ -116,40 +154,86 @@
 	}
 
 	/**
-	 * Ends the request in flight, if there is one, since the process ends.
+	 * Ends the requests in flight, since the process ends. Those that wait are refused
+	 * when their turn comes.
 	 */
 	void endInFlight() {
-		this.requests.started().map(CallerExchange::processing).ifPresent(Processing::gatewayEnds);
+		this.ending = true;
+		this.requests.started().forEach(CallerExchange::gatewayEnds);
 	}
 
-	private void startNext() {
-		this.requests.startNext().ifPresent((next) -> next.start(this.processor, this.timeouts.requestBegunAt()));
+	private void startWaiting() {
+		Optional<CallerExchange> next = startNext();
+		while (next.isPresent()) {
+			next = startNext();
+		}
+	}
+
+	private Optional<CallerExchange> startNext() {
+		boolean concurrent = this.requests.hasStarted();
+		Optional<CallerExchange> next = this.requests.startNext(this.processor, this.responses.unsentBytes());
+		next.ifPresent((exchange) -> {
+			if (concurrent) {
+				this.events.startedConcurrently();
+			}
+			this.timeouts.requestStarted();
+			exchange.start(this.processor);
+			if (this.ending) {
+				exchange.gatewayEnds();
+			}
+		});
+		return next;
+	}
+
+	private void scheduleStart() {
+		if (this.requests.hasWaiting()) {
+			this.context.executor().execute(this::startWaiting);
+		}
 	}
 
 	private void finished(CallerExchange exchange) {
-		this.requests.removeStarted();
-		this.timeouts.responseSent();
-		boolean last = !exchange.keepsAlive()
-				|| !this.requests.hasWaiting() && (this.requests.isOverfull() || this.leaving.getAsBoolean());
-		this.responses.send(exchange, last);
-		if (last) {
-			this.requests.discardWaiting();
+		this.responses.hold(exchange);
+		if (!exchange.keepsAlive()) {
+			dropBehind(exchange);
 		}
-		else if (this.requests.hasWaiting()) {
-			this.context.executor().execute(this::startWaiting);
+		Optional<CallerExchange> answered = this.requests.removeAnswered();
+		while (answered.isPresent()) {
+			send(answered.get());
+			answered = this.requests.removeAnswered();
 		}
+		scheduleStart();
 	}
 
-	private void startWaiting() {
-		if (this.requests.hasWaiting()) {
-			this.timeouts.requestReceived();
-			startNext();
+	private void send(CallerExchange exchange) {
+		if (!this.requests.hasStarted()) {
+			this.timeouts.responseSent();
 		}
+		boolean last = !exchange.keepsAlive()
+				|| this.requests.isEmpty() && (this.requests.isEnded() || this.leaving.getAsBoolean());
+		if (last && this.cancelled + this.notStarted > 0) {
+			this.events.dropped(this.context.channel().remoteAddress(), this.requests.isOverfull(), this.cancelled,
+					this.notStarted);
+		}
+		this.responses.send(exchange, last);
+	}
+
+	private void dropBehind(CallerExchange last) {
+		List<CallerExchange> dropped = this.requests.removeBehind(last);
+		int running = (int) dropped.stream().filter(CallerExchange::isStarted).count();
+		this.cancelled += running;
+		this.notStarted += dropped.size() - running;
+		dropped.forEach((exchange) -> exchange.drop(Disconnection.EARLIER_RESPONSE));
 	}
 
-	private void closeAfterLastWrite() {
-		this.requests.discardWaiting();
-		this.responses.closeAfterLastWrite();
+	/**
+	 * Leaves out a request that arrives behind the last one. The input behind it is no
+	 * longer decoded.
+	 */
+	private void leaveOut() {
+		this.notStarted++;
+		if (this.context.pipeline().get(InputDiscarder.class) == null) {
+			this.context.pipeline().addFirst(new InputDiscarder());
+		}
 	}
 
 	/**
@@ -166,6 +250,16 @@
 		 */
 		Processing create(CallerExchange caller, FullHttpRequest request);
 
+		/**
+		 * Returns whether a request that is to be started may run more than once, and so
+		 * concurrently with others of its connection.
+		 * @param request the request
+		 * @return whether the request is known to be idempotent
+		 */
+		default boolean isIdempotent(FullHttpRequest request) {
+			return false;
+		}
+
 	}
 
 	/**
@@ -191,7 +285,21 @@
 		/**
 		 * A message could not be processed.
 		 */
-		EXCEPTION
+		EXCEPTION,
+
+		/**
+		 * The response to an earlier request on it closes it. The other requests end
+		 * before it does.
+		 */
+		EARLIER_RESPONSE;
+
+		/**
+		 * Returns whether the gateway ended the connection while a response was due.
+		 * @return whether the caller misses a response that it could have received
+		 */
+		boolean isByGateway() {
+			return this != CALLER && this != EARLIER_RESPONSE;
+		}
 
 	}
 
@@ -205,6 +313,13 @@
 		 */
 		void start();
 
+		/**
+		 * Returns whether the request may run more than once. It is not known to be if it
+		 * was refused, or not yet validated.
+		 * @return whether later requests of the connection may run concurrently
+		 */
+		boolean isIdempotent();
+
 		/**
 		 * Handles the loss of the caller's connection.
 		 * @param reason why the connection ended
@@ -232,4 +347,16 @@
 
 	}
 
+	/**
+	 * Discards the input of a connection.
+	 */
+	private static final class InputDiscarder extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			ReferenceCountUtil.release(message);
+		}
+
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -49,6 +49,8 @@
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
+	private final PipelineEvents pipelineEvents;
+
 	private final Placement placement;
 
 	private final RegionFlow regionFlow = new RegionFlow();
@@ -87,6 +89,7 @@
 		this.settings = settings;
 		this.events = events;
 		this.fleet = fleet;
+		this.pipelineEvents = new PipelineEvents(this.metrics, events);
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
 		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
 				this.memory, this::unexpectedDataReceived);
@@ -175,6 +178,10 @@
 		return this.metrics;
 	}
 
+	PipelineEvents pipelineEvents() {
+		return this.pipelineEvents;
+	}
+
 	Placement placement() {
 		return this.placement;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -382,8 +382,10 @@
 									() -> GatewayDaemon.this.gateway.plan().limits().maximumHeadBytes()),
 							new BodyAggregator(() -> GatewayDaemon.this.gateway.plan().limits().maximumBodyBytes(),
 									GatewayDaemon.this.gateway.memory()),
-							new CallerHandler((caller, request) -> new ProxiedRequest(GatewayDaemon.this.gateway,
-									caller, request), GatewayDaemon.this.gateway::isLeaving, timeouts));
+							new CallerHandler(ProxiedRequest.processor(GatewayDaemon.this.gateway),
+									GatewayDaemon.this.gateway::isLeaving, timeouts,
+									new RequestSequence(GatewayDaemon.this.gateway.memory()),
+									GatewayDaemon.this.gateway.pipelineEvents()));
 				GatewayDaemon.this.callers.add(channel);
 			}
 		});
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -71,6 +71,12 @@
 		.help("Attempts for which an idle connection was passed over, since it had carried their identifier.")
 		.register(this.registry);
 
+	private final Counter pipelined = Counter.builder()
+		.name("masticlane_gateway_pipelined_requests_total")
+		.help("Requests that callers sent before the response to an earlier one, by what became of them.")
+		.labelNames("what")
+		.register(this.registry);
+
 	private final Gauge planVersion = Gauge.builder()
 		.name("masticlane_gateway_plan_version")
 		.help("The version of the traffic plan in force.")
@@ -121,6 +127,10 @@
 		this.repeatedIdentifiers.inc();
 	}
 
+	void pipelinedRequests(String what, int count) {
+		this.pipelined.labelValues(what).inc(count);
+	}
+
 	void planChanged(long version) {
 		this.planVersion.set(version);
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -68,10 +68,40 @@
 		this.gateway = gateway;
 		this.caller = caller;
 		this.request = request.retain();
-		this.clock = new RequestClock(System.nanoTime(), gateway::stop);
+		this.clock = new RequestClock(caller.arrivedAt(), gateway::stop);
 		this.begunAt = caller.begunAt();
 	}
 
+	/**
+	 * Returns the processor of a gateway's requests.
+	 * @param gateway the state that all requests share
+	 * @return the processor
+	 */
+	static CallerHandler.Processor processor(GatewayContext gateway) {
+		return new CallerHandler.Processor() {
+
+			@Override
+			public CallerHandler.Processing create(CallerExchange caller, FullHttpRequest request) {
+				return new ProxiedRequest(gateway, caller, request);
+			}
+
+			@Override
+			public boolean isIdempotent(FullHttpRequest request) {
+				// The plan may still change while a request waits for the first one.
+				return gateway.startupQueue().isOpen() && RequestTarget.parse(request)
+					.flatMap((target) -> gateway.plan().route(target.host(), target.path()))
+					.map(PathRoute::idempotent)
+					.orElse(false);
+			}
+
+		};
+	}
+
+	@Override
+	public boolean isIdempotent() {
+		return this.route != null && this.route.idempotent();
+	}
+
 	@Override
 	public void start() {
 		this.gateway.requestStarted();
--- a/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ReadTimeoutTracker.java
@@ -49,6 +49,10 @@
 		this.state = State.BUSY;
 	}
 
+	void requestStarted() {
+		this.state = State.BUSY;
+	}
+
 	void responseSent() {
 		this.state = State.IDLE;
 		this.stateSince = System.nanoTime();
--- a/masticlane/src/main/java/io/masticlane/gateway/ResponseSender.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ResponseSender.java
@@ -1,5 +1,7 @@
 package io.masticlane.gateway;
 
+import java.util.Optional;
+
 import io.masticlane.caller.LingeringClose;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -15,6 +17,14 @@
 
 	private final ChannelHandlerContext context;
 
+	private final Runnable listener;
+
+	/**
+	 * The bytes of complete responses that have not left, whether they wait for an
+	 * earlier response or for the caller to read.
+	 */
+	private long unsentBytes;
+
 	private ChannelFuture lastWrite;
 
 	/**
@@ -26,7 +36,7 @@
 	 * The processing of the response after which the connection ends, until it is known
 	 * whether the caller received it.
 	 */
-	private CallerHandler.Processing unconfirmed;
+	private Optional<CallerHandler.Processing> unconfirmed = Optional.empty();
 
 	/**
 	 * The progress of the response that is being written, when it was last looked at.
@@ -35,11 +45,25 @@
 
 	private CallerHandler.Disconnection disconnection = CallerHandler.Disconnection.CALLER;
 
-	ResponseSender(ChannelHandlerContext context) {
+	/**
+	 * Creates a sender.
+	 * @param context the context of the connection's handler
+	 * @param listener called when a response has left
+	 */
+	ResponseSender(ChannelHandlerContext context, Runnable listener) {
 		this.context = context;
+		this.listener = listener;
 		this.lastWrite = context.newSucceededFuture();
 	}
 
+	/**
+	 * Counts a response that is complete and is sent later.
+	 * @param exchange the exchange
+	 */
+	void hold(CallerExchange exchange) {
+		this.unsentBytes += exchange.responseBytes();
+	}
+
 	/**
 	 * Writes a response.
 	 * @param exchange the exchange, whose response is complete
@@ -54,11 +78,16 @@
 			LingeringClose.resetOnClose(channel, true);
 		}
 		this.lastWrite = this.context.writeAndFlush(exchange.response()).addListener((written) -> {
-			if (!written.isSuccess()) {
-				this.unconfirmed = null;
-				reportCut(exchange.processing());
-				this.context.close();
+			this.unsentBytes -= exchange.responseBytes();
+			if (written.isSuccess()) {
+				this.listener.run();
+				return;
+			}
+			this.unconfirmed = Optional.empty();
+			if (this.disconnection.isByGateway()) {
+				exchange.processing().ifPresent((answered) -> answered.responseCut(this.disconnection));
 			}
+			this.context.close();
 		});
 		this.writeProgress = currentWriteProgress();
 		if (last) {
@@ -102,6 +131,14 @@
 		}
 	}
 
+	/**
+	 * Returns the bytes of complete responses that have not left.
+	 * @return the number of bytes
+	 */
+	long unsentBytes() {
+		return this.unsentBytes;
+	}
+
 	/**
 	 * Returns whether the connection ends after the last write.
 	 * @return whether nothing more is written
@@ -124,7 +161,7 @@
 	 * @return whether the end of the connection is awaited
 	 */
 	boolean isAwaited() {
-		return !this.closing || !isWritten() || this.unconfirmed != null;
+		return !this.closing || !isWritten() || this.unconfirmed.isPresent();
 	}
 
 	/**
@@ -159,17 +196,9 @@
 		}
 	}
 
-	private void reportCut(CallerHandler.Processing answered) {
-		if (answered != null && this.disconnection != CallerHandler.Disconnection.CALLER) {
-			answered.responseCut(this.disconnection);
-		}
-	}
-
 	private void reportUnconfirmed(CallerHandler.Disconnection reason) {
-		if (this.unconfirmed != null) {
-			this.unconfirmed.responseUnconfirmed(reason);
-			this.unconfirmed = null;
-		}
+		this.unconfirmed.ifPresent((answered) -> answered.responseUnconfirmed(reason));
+		this.unconfirmed = Optional.empty();
 	}
 
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/StartupQueue.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StartupQueue.java
@@ -33,6 +33,10 @@
 		return !this.open && this.waiting.size() < this.capacity && this.waiting.offer(request);
 	}
 
+	boolean isOpen() {
+		return this.open;
+	}
+
 	/**
 	 * Continues the waiting requests. No further ones wait.
 	 */
