--- a/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/CallerHandler.java
@@ -1,190 +1,119 @@
 package io.masticlane.gateway;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Locale;
-import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
+import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
-import io.masticlane.caller.Headers;
-import io.masticlane.caller.LingeringClose;
-import io.masticlane.caller.RefusedRequest;
-import io.masticlane.failure.ErrorKind;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Handles the connection of a caller and processes its requests one after the other.
+ * Handles the connection of a caller: starts its requests when their turn comes and sends
+ * the responses in the order of the requests.
  */
 final class CallerHandler extends SimpleChannelInboundHandler<Object> {
 
-	/**
-	 * The limit of pipelined requests that wait on a connection. Those beyond it are not
-	 * run, and the connection is closed after the responses to the others.
-	 */
-	private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
-
 	private final Processor processor;
 
 	private final BooleanSupplier leaving;
 
 	private final ReadTimeoutTracker timeouts;
 
-	/**
-	 * The requests that wait for the response to an earlier one, including the next one
-	 * until it is begun, so that none can overtake it.
-	 */
-	private final Deque<Object> pipelined = new ArrayDeque<>();
+	private final RequestSequence requests;
 
-	private ChannelHandlerContext context;
+	private final PipelineEvents events;
 
-	private Processing current;
-
-	private boolean keepAlive;
+	private ChannelHandlerContext context;
 
-	private boolean headRequest;
+	private ResponseSender responses;
 
 	/**
-	 * Whether requests beyond the limit of pipelined ones were left out.
+	 * Whether the process ends, so that no request is given to a server.
 	 */
-	private boolean overfull;
+	private boolean ending;
 
 	/**
-	 * Whether nothing more is processed, and the connection ends after the last write.
+	 * The number of requests that were started and stay without a response, since an
+	 * earlier response closes the connection.
 	 */
-	private boolean closing;
-
-	private ChannelFuture lastWrite;
+	private int cancelled;
 
 	/**
-	 * The processing of the response after which the connection ends, until it is known
-	 * whether the caller received it.
+	 * The number of requests that are not started, for the same reason.
 	 */
-	private Processing unconfirmed;
-
-	/**
-	 * The progress of the response that is being written, when it was last looked at.
-	 */
-	private long writeProgress;
-
-	private Disconnection disconnection = Disconnection.CALLER;
+	private int notStarted;
 
 	/**
 	 * Creates a handler.
 	 * @param processor starts the processing of each request
 	 * @param leaving whether the gateway is leaving, after which connections are closed
 	 * @param timeouts tracks the timeouts of the connection
+	 * @param requests the requests of the connection
+	 * @param events counts and logs pipelined requests
 	 */
-	CallerHandler(Processor processor, BooleanSupplier leaving, ReadTimeoutTracker timeouts) {
+	CallerHandler(Processor processor, BooleanSupplier leaving, ReadTimeoutTracker timeouts, RequestSequence requests,
+			PipelineEvents events) {
 		this.processor = processor;
 		this.leaving = leaving;
 		this.timeouts = timeouts;
+		this.requests = requests;
+		this.events = events;
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
-		this.lastWrite = added.newSucceededFuture();
+		this.responses = new ResponseSender(added, this::scheduleStart);
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext read, Object message) {
-		if (this.closing || this.overfull) {
+		if (this.responses.isClosing()) {
 			// The connection ends with an earlier response.
 			return;
 		}
+		if (this.requests.isEnded()) {
+			leaveOut();
+			return;
+		}
 		this.timeouts.requestReceived();
-		if (this.current == null && this.pipelined.isEmpty()) {
-			begin(message);
+		CallerExchange exchange = new CallerExchange(ReferenceCountUtil.retain(message), this.timeouts.requestBegunAt(),
+				System.nanoTime(), this::finished);
+		if (!this.requests.add(exchange)) {
+			exchange.drop(Disconnection.EARLIER_RESPONSE);
+			leaveOut();
+			return;
 		}
-		else if (this.pipelined.size() >= MAXIMUM_PIPELINED_REQUESTS) {
-			this.overfull = true;
+		startWaiting();
+		if (!exchange.isStarted()) {
+			this.events.waited();
 		}
-		else {
-			this.pipelined.add(ReferenceCountUtil.retain(message));
+		if (!this.requests.hasStarted() && this.requests.hasWaiting()) {
+			// What it waits for is that the caller reads, which is limited in time.
+			this.timeouts.responseSent();
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext inactive) {
-		discardPipelined();
-		if (this.current != null) {
-			Processing disconnected = this.current;
-			this.current = null;
-			disconnected.callerDisconnected(this.disconnection);
-		}
+		this.requests.removeAll().forEach((exchange) -> exchange.drop(this.responses.disconnection()));
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext caught, Throwable cause) {
-		close((cause instanceof IOException) ? Disconnection.CALLER : Disconnection.EXCEPTION);
-	}
-
-	/**
-	 * Forwards the response of a backend server to the caller. A response that ends with
-	 * its connection gets no length, since it may have broken off.
-	 * @param response the response, whose content this method retains
-	 */
-	void forwardResponse(FullHttpResponse response) {
-		FullHttpResponse copy = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(),
-				response.content().retain());
-		copy.headers().set(response.headers());
-		Headers.removeHopByHop(copy.headers());
-		copy.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-		boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-		boolean withoutBody = this.headRequest || response.status().equals(HttpResponseStatus.NO_CONTENT)
-				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-		this.keepAlive &= framed || withoutBody;
-		if (framed || withoutBody) {
-			setContentLength(copy);
-			finish(copy);
-		}
-		else {
-			LingeringClose.resetOnClose(this.context.channel(), true);
-			finish(copy);
-			this.lastWrite.addListener((written) -> LingeringClose.resetOnClose(this.context.channel(), false));
-		}
-	}
-
-	/**
-	 * Sends an error response of the gateway itself.
-	 * @param status the status
-	 * @param text the reason in one line
-	 * @param retryAfterSeconds the delay after which the caller may retry, if it may
-	 */
-	void sendError(HttpResponseStatus status, String text, OptionalDouble retryAfterSeconds) {
-		ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-		retryAfterSeconds.ifPresent((seconds) -> response.headers()
-			.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds)));
-		setContentLength(response);
-		finish(response);
+		this.responses.close((cause instanceof IOException) ? Disconnection.CALLER : Disconnection.EXCEPTION);
 	}
 
 	/**
 	 * Closes the connection unless a request on it is in flight or has been read in part.
 	 */
 	void closeIfIdle() {
-		if (this.current == null && this.pipelined.isEmpty() && !this.timeouts.isReading()) {
-			closeAfterLastWrite();
+		if (this.requests.isEmpty() && !this.timeouts.isReading()) {
+			this.responses.closeAfterLastWrite();
 		}
 	}
 
@@ -193,15 +122,17 @@
 	 * reading a response.
 	 */
 	void closeTimedOut() {
-		if (this.lastWrite.isDone()) {
-			closeAfterLastWrite();
+		if (this.responses.isWritten()) {
+			// A request that waited for the responses to be read is about to start.
+			if (this.requests.isEmpty()) {
+				this.responses.closeAfterLastWrite();
+			}
 		}
-		else if (this.writeProgress != currentWriteProgress()) {
-			this.writeProgress = currentWriteProgress();
+		else if (this.responses.hasProgressed()) {
 			this.timeouts.responseProgressed();
 		}
 		else {
-			close(Disconnection.TIMEOUT);
+			this.responses.close(Disconnection.TIMEOUT);
 		}
 	}
 
@@ -211,7 +142,7 @@
 	 * @return whether the end of the connection is awaited
 	 */
 	boolean isAwaited() {
-		return !this.closing || !this.lastWrite.isDone() || this.unconfirmed != null;
+		return this.responses.isAwaited();
 	}
 
 	/**
@@ -219,147 +150,90 @@
 	 * process.
 	 */
 	void processEnds() {
-		if (!this.lastWrite.isDone()) {
-			close(Disconnection.PROCESS_END);
-		}
-		else {
-			reportUnconfirmed(Disconnection.PROCESS_END);
-		}
+		this.responses.processEnds();
 	}
 
 	/**
-	 * Ends the request in flight, if there is one, since the process ends.
+	 * Ends the requests in flight, since the process ends. Those that wait are refused
+	 * when their turn comes.
 	 */
 	void endInFlight() {
-		if (this.current != null) {
-			this.current.gatewayEnds();
-		}
-	}
-
-	/**
-	 * Returns the time at which the first byte of the last request was read.
-	 * @return the time in nanoseconds
-	 */
-	long requestBegunAt() {
-		return this.timeouts.requestBegunAt();
+		this.ending = true;
+		this.requests.started().forEach(CallerExchange::gatewayEnds);
 	}
 
-	private void begin(Object message) {
-		if (message instanceof FullHttpRequest request) {
-			begin(request);
-		}
-		else if (message instanceof RefusedRequest refused) {
-			this.headRequest = false;
-			this.keepAlive = false;
-			if (refused.refusal().kind() == ErrorKind.TOO_LARGE) {
-				sendError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large", OptionalDouble.empty());
-			}
-			else {
-				sendError(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: no memory for the body", OptionalDouble
-					.of(refused.refusal().retryAfterMillis() / (double) TimeUnit.SECONDS.toMillis(1)));
-			}
+	private void startWaiting() {
+		Optional<CallerExchange> next = startNext();
+		while (next.isPresent()) {
+			next = startNext();
 		}
 	}
 
-	private void beginNext() {
-		Object next = this.pipelined.poll();
-		if (next != null) {
-			this.timeouts.requestReceived();
-			begin(next);
-			ReferenceCountUtil.release(next);
-		}
-	}
-
-	private void begin(FullHttpRequest request) {
-		Throwable decoderFailure = request.decoderResult().cause();
-		this.headRequest = request.method().name().equals("HEAD");
-		this.keepAlive = decoderFailure == null && HttpUtil.isKeepAlive(request);
-		if (decoderFailure != null) {
-			boolean tooLong = decoderFailure instanceof TooLongHttpHeaderException
-					|| decoderFailure instanceof TooLongHttpLineException;
-			sendError(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-					"the request cannot be read", OptionalDouble.empty());
-			return;
-		}
-		Processing processing = this.processor.create(this, request);
-		this.current = processing;
-		processing.start();
-	}
-
-	private void close(Disconnection reason) {
-		this.disconnection = reason;
-		this.context.close();
-	}
-
-	private void finish(FullHttpResponse response) {
-		Processing answered = this.current;
-		this.current = null;
-		this.timeouts.responseSent();
-		boolean close = !this.keepAlive || this.pipelined.isEmpty() && (this.overfull || this.leaving.getAsBoolean());
-		if (close) {
-			response.headers().set(HttpHeaderNames.CONNECTION, "close");
-		}
-		this.lastWrite = this.context.writeAndFlush(response).addListener((written) -> {
-			if (!written.isSuccess()) {
-				this.unconfirmed = null;
-				reportCut(answered);
-				this.context.close();
+	private Optional<CallerExchange> startNext() {
+		boolean concurrent = this.requests.hasStarted();
+		Optional<CallerExchange> next = this.requests.startNext(this.processor, this.responses.unsentBytes());
+		next.ifPresent((exchange) -> {
+			if (concurrent) {
+				this.events.startedConcurrently();
+			}
+			this.timeouts.requestStarted();
+			exchange.start(this.processor);
+			if (this.ending) {
+				exchange.gatewayEnds();
 			}
 		});
-		this.writeProgress = currentWriteProgress();
-		if (close) {
-			this.unconfirmed = answered;
-			closeAfterLastWrite();
-		}
-		else if (!this.pipelined.isEmpty()) {
-			this.context.executor().execute(this::beginNext);
-		}
-	}
-
-	private long currentWriteProgress() {
-		ChannelOutboundBuffer unwritten = this.context.channel().unsafe().outboundBuffer();
-		return (unwritten != null) ? unwritten.currentProgress() : 0;
+		return next;
 	}
 
-	private void closeAfterLastWrite() {
-		if (!this.closing) {
-			this.closing = true;
-			discardPipelined();
-			LingeringClose.after(this.lastWrite, this::connectionClosed);
+	private void scheduleStart() {
+		if (this.requests.hasWaiting()) {
+			this.context.executor().execute(this::startWaiting);
 		}
 	}
 
-	private void connectionClosed(LingeringClose.Outcome outcome) {
-		if (outcome == LingeringClose.Outcome.RESET) {
-			reportUnconfirmed(Disconnection.CALLER);
+	private void finished(CallerExchange exchange) {
+		this.responses.hold(exchange);
+		if (!exchange.keepsAlive()) {
+			dropBehind(exchange);
 		}
-		else if (outcome == LingeringClose.Outcome.TIMED_OUT) {
-			reportUnconfirmed(Disconnection.TIMEOUT);
+		Optional<CallerExchange> answered = this.requests.removeAnswered();
+		while (answered.isPresent()) {
+			send(answered.get());
+			answered = this.requests.removeAnswered();
 		}
+		scheduleStart();
 	}
 
-	private void reportCut(Processing answered) {
-		if (answered != null && this.disconnection != Disconnection.CALLER) {
-			answered.responseCut(this.disconnection);
+	private void send(CallerExchange exchange) {
+		if (!this.requests.hasStarted()) {
+			this.timeouts.responseSent();
 		}
-	}
-
-	private void reportUnconfirmed(Disconnection reason) {
-		if (this.unconfirmed != null) {
-			this.unconfirmed.responseUnconfirmed(reason);
-			this.unconfirmed = null;
+		boolean last = !exchange.keepsAlive()
+				|| this.requests.isEmpty() && (this.requests.isEnded() || this.leaving.getAsBoolean());
+		if (last && this.cancelled + this.notStarted > 0) {
+			this.events.dropped(this.context.channel().remoteAddress(), this.requests.isOverfull(), this.cancelled,
+					this.notStarted);
 		}
+		this.responses.send(exchange, last);
 	}
 
-	private void setContentLength(FullHttpResponse response) {
-		if (!this.headRequest) {
-			HttpUtil.setContentLength(response, response.content().readableBytes());
-		}
+	private void dropBehind(CallerExchange last) {
+		List<CallerExchange> dropped = this.requests.removeBehind(last);
+		int running = (int) dropped.stream().filter(CallerExchange::isStarted).count();
+		this.cancelled += running;
+		this.notStarted += dropped.size() - running;
+		dropped.forEach((exchange) -> exchange.drop(Disconnection.EARLIER_RESPONSE));
 	}
 
-	private void discardPipelined() {
-		this.pipelined.forEach(ReferenceCountUtil::release);
-		this.pipelined.clear();
+	/**
+	 * Leaves out a request that arrives behind the last one. The input behind it is no
+	 * longer decoded.
+	 */
+	private void leaveOut() {
+		this.notStarted++;
+		if (this.context.pipeline().get(InputDiscarder.class) == null) {
+			this.context.pipeline().addFirst(new InputDiscarder());
+		}
 	}
 
 	/**
@@ -370,11 +244,21 @@
 
 		/**
 		 * Creates the processing of a request.
-		 * @param caller the connection, which receives exactly one response
+		 * @param caller the exchange, which receives exactly one response
 		 * @param request the request, which the processing retains
 		 * @return the processing, not yet started
 		 */
-		Processing create(CallerHandler caller, FullHttpRequest request);
+		Processing create(CallerExchange caller, FullHttpRequest request);
+
+		/**
+		 * Returns whether a request that is to be started may run more than once, and so
+		 * concurrently with others of its connection.
+		 * @param request the request
+		 * @return whether the request is known to be idempotent
+		 */
+		default boolean isIdempotent(FullHttpRequest request) {
+			return false;
+		}
 
 	}
 
@@ -401,7 +285,21 @@
 		/**
 		 * A message could not be processed.
 		 */
-		EXCEPTION
+		EXCEPTION,
+
+		/**
+		 * The response to an earlier request on it closes it. The other requests end
+		 * before it does.
+		 */
+		EARLIER_RESPONSE;
+
+		/**
+		 * Returns whether the gateway ended the connection while a response was due.
+		 * @return whether the caller misses a response that it could have received
+		 */
+		boolean isByGateway() {
+			return this != CALLER && this != EARLIER_RESPONSE;
+		}
 
 	}
 
@@ -415,6 +313,13 @@
 		 */
 		void start();
 
+		/**
+		 * Returns whether the request may run more than once. It is not known to be if it
+		 * was refused, or not yet validated.
+		 * @return whether later requests of the connection may run concurrently
+		 */
+		boolean isIdempotent();
+
 		/**
 		 * Handles the loss of the caller's connection.
 		 * @param reason why the connection ended
@@ -442,4 +347,16 @@
 
 	}
 
+	/**
+	 * Discards the input of a connection.
+	 */
+	private static final class InputDiscarder extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			ReferenceCountUtil.release(message);
+		}
+
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -34,7 +34,7 @@
 
 	private final GatewayContext gateway;
 
-	private final CallerHandler caller;
+	private final CallerExchange caller;
 
 	private final FullHttpRequest request;
 
@@ -64,12 +64,42 @@
 
 	private boolean finished;
 
-	ProxiedRequest(GatewayContext gateway, CallerHandler caller, FullHttpRequest request) {
+	ProxiedRequest(GatewayContext gateway, CallerExchange caller, FullHttpRequest request) {
 		this.gateway = gateway;
 		this.caller = caller;
 		this.request = request.retain();
-		this.clock = new RequestClock(System.nanoTime(), gateway::stop);
-		this.begunAt = caller.requestBegunAt();
+		this.clock = new RequestClock(caller.arrivedAt(), gateway::stop);
+		this.begunAt = caller.begunAt();
+	}
+
+	/**
+	 * Returns the processor of a gateway's requests.
+	 * @param gateway the state that all requests share
+	 * @return the processor
+	 */
+	static CallerHandler.Processor processor(GatewayContext gateway) {
+		return new CallerHandler.Processor() {
+
+			@Override
+			public CallerHandler.Processing create(CallerExchange caller, FullHttpRequest request) {
+				return new ProxiedRequest(gateway, caller, request);
+			}
+
+			@Override
+			public boolean isIdempotent(FullHttpRequest request) {
+				// The plan may still change while a request waits for the first one.
+				return gateway.startupQueue().isOpen() && RequestTarget.parse(request)
+					.flatMap((target) -> gateway.plan().route(target.host(), target.path()))
+					.map(PathRoute::idempotent)
+					.orElse(false);
+			}
+
+		};
+	}
+
+	@Override
+	public boolean isIdempotent() {
+		return this.route != null && this.route.idempotent();
 	}
 
 	@Override
