--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayTimes.java
@@ -45,6 +45,12 @@
 	 */
 	static final long RELAYED_CHANGES_MARGIN_MILLIS = 400;
 
+	/**
+	 * How long the store waits for a change before it responds to a relay. Others wait
+	 * for the relay's batches, including empty ones, no longer than the margin.
+	 */
+	static final long RELAY_LONG_POLL_MILLIS = RELAYED_CHANGES_MARGIN_MILLIS / 2;
+
 	/**
 	 * The pause after a failed call to the store.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -91,7 +91,7 @@
 		this.topology = new RelayTopology(described.host());
 		this.network = new PeerNetwork(loops, this.self, GatewayTimes.PEER_IDLE_TIMEOUT_MILLIS, this, gateway.events());
 		this.storeRelay = new StoreRelay(gateway.dialect()::key, gateway.dialect()::server, view::serverConfirmed);
-		store.forwardTo(this::forwardStoreChanges);
+		store.forwardTo(this::forwardStoreChanges, () -> this.links.relay());
 	}
 
 	Channel listen(InetSocketAddress address) {
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.masticlane.store.SharedState;
@@ -30,6 +31,8 @@
 	private Consumer<Batch> forwarder = (batch) -> {
 	};
 
+	private BooleanSupplier forwarding = () -> false;
+
 	private ScheduledFuture<?> nextRead;
 
 	private long position = -1;
@@ -58,9 +61,11 @@
 	/**
 	 * Sets the receiver of the changes that this follower reads itself.
 	 * @param receiver receives each batch after it was delivered
+	 * @param active whether others rely on the batches at present
 	 */
-	void forwardTo(Consumer<Batch> receiver) {
+	void forwardTo(Consumer<Batch> receiver, BooleanSupplier active) {
 		this.forwarder = receiver;
+		this.forwarding = active;
 	}
 
 	void start() {
@@ -146,7 +151,9 @@
 	private void follow() {
 		long after = this.position;
 		boolean wasLost = this.lost;
-		onSuccess(this.store.changes(ALL_KEYS, after, GatewayTimes.LONG_POLL_MILLIS), (changes) -> {
+		long waitMillis = this.forwarding.getAsBoolean() ? GatewayTimes.RELAY_LONG_POLL_MILLIS
+				: GatewayTimes.LONG_POLL_MILLIS;
+		onSuccess(this.store.changes(ALL_KEYS, after, waitMillis), (changes) -> {
 			this.position = Math.max(this.position, changes.position());
 			changes.items().forEach(this::deliver);
 			schedule(this.pauseMillis, this::follow);
