Name half as many reserve hosts as hosts of the data centre, and document

Changing the minimum, the tolerance, the maximum or the comparison with the region each fails a test.

--- a/masticlane/src/main/java/io/masticlane/fleet/HostSelection.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/HostSelection.java
@@ -29,11 +29,19 @@
 	static final int MINIMUM_HOSTS = 2;
 
 	/**
-	 * The number of hosts outside the caller's data centre that are named beside those in
-	 * it. Callers keep an answer for 2 s, some for 6 s, and would have no host to use for
-	 * that time if the whole data centre failed.
+	 * The number of hosts outside the caller's data centre that are named as a reserve,
+	 * per host in it. Callers keep an answer for 2 s, some for 6 s, and would have no
+	 * host for that time if the whole data centre failed. At a half, a third of the
+	 * connections leave their data centre and the busiest host carries a third more than
+	 * the mean.
 	 */
-	static final int RESERVE_HOSTS = 1;
+	static final double RESERVE_RATIO = 0.5;
+
+	/**
+	 * The largest number of hosts in the caller's data centre, which leaves room for the
+	 * reserve.
+	 */
+	private static final int MAXIMUM_LOCAL_HOSTS = (int) (MAXIMUM_HOSTS / (1 + RESERVE_RATIO));
 
 	/**
 	 * The ratio from which a smaller amount counts as about equal to a larger one. Hosts
@@ -52,9 +60,9 @@
 
 	/**
 	 * Selects the hosts for the callers of a data centre: the strongest in it, and a
-	 * reserve outside it. The strongest of the region are selected instead if the data
-	 * centre has too few, weaker ones, or ones that carry too little together; those of
-	 * all regions if the region has none.
+	 * reserve in other data centres of the region. The strongest of the region are
+	 * selected instead if the data centre has too few, weaker ones, or ones that carry
+	 * too little together; those of all regions if the region has none.
 	 * @param region the region of the callers
 	 * @param dataCentre the data centre of the callers
 	 * @param available the gateways that accept callers
@@ -64,24 +72,19 @@
 	 */
 	public static List<Gateway> select(String region, String dataCentre, Collection<Gateway> available,
 			HostCapacity largest) {
+		List<Gateway> inRegion = available.stream().filter((gateway) -> gateway.region().equals(region)).toList();
 		long location = Rendezvous.hash(dataCentre);
-		List<Candidate> all = available.stream()
+		List<Candidate> candidates = (inRegion.isEmpty() ? available : inRegion).stream()
 			.map((gateway) -> Candidate.of(gateway, largest, location))
 			.sorted(STRONGEST_FIRST)
 			.toList();
-		List<Candidate> regional = all.stream()
-			.filter((candidate) -> candidate.gateway().region().equals(region))
-			.toList();
-		if (regional.isEmpty()) {
-			return gateways(strongest(all, MAXIMUM_HOSTS).stream());
-		}
-		List<Candidate> local = strongest(regional.stream().filter((candidate) -> candidate.isIn(dataCentre)).toList(),
-				MAXIMUM_HOSTS - RESERVE_HOSTS);
-		List<Candidate> wider = strongest(regional, MAXIMUM_HOSTS);
-		if (!suffices(local, wider, dataCentres(regional))) {
+		List<Candidate> wider = strongest(candidates, MAXIMUM_HOSTS);
+		List<Candidate> local = strongest(
+				candidates.stream().filter((candidate) -> candidate.isIn(dataCentre)).toList(), MAXIMUM_LOCAL_HOSTS);
+		if (inRegion.isEmpty() || !suffices(local, wider, dataCentres(candidates))) {
 			return gateways(wider.stream());
 		}
-		return gateways(Stream.concat(local.stream(), reserve(regional, dataCentre, weakest(local))));
+		return gateways(Stream.concat(local.stream(), reserve(candidates, dataCentre, local)));
 	}
 
 	/**
@@ -120,11 +123,12 @@
 		return candidates.subList(0, count);
 	}
 
-	private static Stream<Candidate> reserve(List<Candidate> regional, String dataCentre, double weakest) {
+	private static Stream<Candidate> reserve(List<Candidate> regional, String dataCentre, List<Candidate> local) {
 		return regional.stream()
 			.filter((candidate) -> !candidate.isIn(dataCentre))
-			.filter((candidate) -> candidate.strength() >= ABOUT_EQUAL * weakest)
-			.limit(RESERVE_HOSTS);
+			.filter((candidate) -> candidate.strength() >= ABOUT_EQUAL * weakest(local))
+			.sorted(Comparator.comparingDouble(Candidate::rank).reversed())
+			.limit((long) Math.ceil(local.size() * RESERVE_RATIO));
 	}
 
 	/**
@@ -160,7 +164,7 @@
 
 		private static Candidate of(Gateway gateway, HostCapacity largest, long location) {
 			return new Candidate(gateway, gateway.capacity().fractionOf(largest),
-					Rendezvous.score(location, Rendezvous.hash(gateway.host()), 1));
+					Rendezvous.fraction(location ^ Rendezvous.hash(gateway.host())));
 		}
 
 		private boolean isIn(String dataCentre) {
