--- a/masticlane/src/test/java/io/masticlane/memory/SlowReadersTests.java
+++ b/masticlane/src/test/java/io/masticlane/memory/SlowReadersTests.java
@@ -56,8 +56,6 @@
 
 	private int refused;
 
-	private int delivered;
-
 	@Factory(dataProvider = "sizes")
 	public SlowReadersTests(int smallestBytes, int largestBytes) {
 		this.smallestBytes = smallestBytes;
@@ -78,7 +76,7 @@
 		List<Download> waiting = new ArrayList<>(IntStream.range(0, DOWNLOADS).mapToObj(Download::new).toList());
 		Deque<ByteBuf> small = new ArrayDeque<>();
 		for (long now = 0; !waiting.isEmpty(); now += STEP_MILLIS) {
-			assertTrue(now < 120_000, this.delivered + " delivered");
+			assertTrue(now < 60_000, waiting.size() + " wait");
 			MessageBody body = this.memory.newBody(() -> {
 				throw new AssertionError("a small message was evicted");
 			});
@@ -93,7 +91,6 @@
 			waiting.removeIf((each) -> each.read);
 		}
 		small.forEach(ByteBuf::release);
-		assertEquals(this.delivered, DOWNLOADS);
 		assertTrue(this.refused > DOWNLOADS / 2, this.refused + " refused");
 		int together = this.returns.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
 		assertTrue(together < DOWNLOADS / 5, together + " return within 100 ms");
@@ -142,7 +139,6 @@
 				this.unread.remove().release();
 				this.read = this.unread.isEmpty();
 				this.nextAt = now + (this.read ? 0 : this.unread.peek().readableBytes() / READ_BYTES_PER_MILLI);
-				SlowReadersTests.this.delivered += this.read ? 1 : 0;
 			}
 		}
 
