--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -240,6 +240,12 @@
 	PIPELINED_REQUESTS_DROPPED(6209, Severity.INFORMATION,
 			"caller={} reason={} cancelled={} not_started={} waiting_limit={}"),
 
+	/**
+	 * Downloads were refused since there was no memory for their responses.
+	 */
+	DOWNLOADS_REFUSED(6210, Severity.WARNING,
+			"refused={} reserved_bytes={} used_bytes={} limit_bytes={} freed_bytes_per_s={}"),
+
 	/**
 	 * Log lines were dropped.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -16,6 +16,7 @@
 
 import io.masticlane.caller.BodyAggregator;
 import io.masticlane.caller.CallerCodec;
+import io.masticlane.caller.SegmentedWrites;
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
@@ -280,6 +281,7 @@
 		this.gateway.connections().closeExpired();
 		this.directory.recordChanges();
 		this.gateway.metrics().messageMemory(this.gateway.memory().usedBytes(), this.gateway.memory().limitBytes());
+		this.gateway.downloads().report(this.gateway.metrics(), this.events, now);
 		this.gateway.metrics().localFractions(this.gateway.placement().localFractions());
 		this.gateway.metrics()
 			.known(this.gateway.placement().servers().size(), this.fleet.size(), this.view.rejectedDocuments(),
@@ -372,6 +374,7 @@
 					.addLast(timeouts,
 							new CallerCodec(new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
 								.setMaxHeaderSize(MAXIMUM_HEAD_BYTES)),
+							new SegmentedWrites(() -> GatewayDaemon.this.gateway.plan().hasDownloads()),
 							new HeadListener(timeouts,
 									() -> GatewayDaemon.this.gateway.plan().limits().maximumHeadBytes()),
 							new BodyAggregator(() -> GatewayDaemon.this.gateway.plan().limits().maximumBodyBytes(),
