Reject the least costly requests first under overload

Cause: each request was compared with the queue of one server in units of its own processing time, so bulk requests with a long objective accepted longer queues than urgent ones.

Change: gateways estimate demand, room and an admitted fraction for each service and region from the load that servers report, and divide it by priority, expected lateness and work, with a floor for each kind and an even fraction for each organisation. Nothing is rejected at a free slot. Active where the plan has downloads. Event 6114, four metrics, reason "overload".

--- a/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
+++ b/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
@@ -36,6 +36,11 @@
 	 */
 	private static final double MAXIMUM_RETRY_DELAY_MILLIS = 1_500;
 
+	/**
+	 * The fraction of their remaining time that callers wait at most before a retry.
+	 */
+	private static final double HONOURED_FRACTION = 1 / 3.0;
+
 	private final DoubleSupplier random;
 
 	/**
@@ -76,4 +81,18 @@
 		return minimumDelayMillis * (1 + this.random.getAsDouble());
 	}
 
+	/**
+	 * Returns the delay before a retry of a request that was refused because of the load
+	 * of all servers. Delays longer than those that callers honour would be shortened to
+	 * the same time, so the spread lies within it.
+	 * @param excessMillis the time in which the servers complete the excess work
+	 * @param remainingMillis the remaining time of the caller
+	 * @return the time in milliseconds
+	 */
+	public double retryAfterMillis(double excessMillis, double remainingMillis) {
+		double maximumMillis = remainingMillis * HONOURED_FRACTION;
+		double minimumMillis = Math.min(Math.max(MINIMUM_RETRY_DELAY_MILLIS, excessMillis), maximumMillis / 2);
+		return minimumMillis * (1 + this.random.getAsDouble());
+	}
+
 }
--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -176,6 +176,11 @@
 	 */
 	DATA_UNEXPECTED(6111, Severity.INFORMATION, "address={} connection={} calls={} data={}"),
 
+	/**
+	 * The servers of a service and region became overloaded or are no longer.
+	 */
+	OVERLOAD_CHANGED(6114, Severity.INFORMATION, "service={} region={} state={} admitted={} room={} demand={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/AttemptPlacer.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/AttemptPlacer.java
@@ -52,7 +52,8 @@
 					Math.max(Refusal.DEFAULT_RETRY_AFTER_MILLIS, pauseMillis.orElse(0))));
 			return Optional.empty();
 		}
-		Optional<Refusal> refusal = refusalForLoad(request, clock, found.get());
+		Optional<Refusal> refusal = refusalForOverload(request, clock, excluded, found.get(), now)
+			.or(() -> refusalForLoad(request, clock, found.get()));
 		refusal.ifPresent(refused);
 		return refusal.isPresent() ? Optional.empty() : found;
 	}
@@ -64,6 +65,15 @@
 					this.gateway.placement().serviceTimes(request.route()).expectedMillis(false));
 	}
 
+	// A request that was admitted once isn't refused because its server failed.
+	private Optional<Refusal> refusalForOverload(AdmittedRequest request, RequestClock clock, Set<String> excluded,
+			Placement.Choice chosen, long now) {
+		Optional<Refusal> refusal = excluded.isEmpty() ? this.gateway.overload().refusal(request, clock, chosen, now)
+				: Optional.empty();
+		refusal.ifPresent((each) -> this.gateway.regionFlow().recordRefused(chosen.server().region()));
+		return refusal;
+	}
+
 	private Optional<Refusal> refusalForLoad(AdmittedRequest request, RequestClock clock, Placement.Choice chosen) {
 		boolean congested = this.gateway.placement().isCongested(request.service(), chosen.server().region());
 		double latestMillis = this.gateway.admission()
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -55,6 +55,8 @@
 
 	private final AdmissionPolicy admission = new AdmissionPolicy(() -> ThreadLocalRandom.current().nextDouble());
 
+	private final OverloadGate overload;
+
 	private final RateShares shares = new RateShares(() -> ThreadLocalRandom.current().nextDouble());
 
 	private final WeightedRoundRobin splits = new WeightedRoundRobin();
@@ -88,6 +90,7 @@
 		this.events = events;
 		this.fleet = fleet;
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
+		this.overload = new OverloadGate(this.placement, this.admission, this.metrics, events);
 		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
 				this.memory, this::unexpectedDataReceived);
 		this.announcements = new ServerAnnouncements(this.servers, events);
@@ -106,6 +109,7 @@
 
 	void plan(TrafficPlan updated) {
 		this.plan = updated;
+		this.overload.enable(updated.hasDownloads());
 		this.shares.organisations(updated.organisations().values());
 		this.metrics.planChanged(updated.version());
 	}
@@ -187,6 +191,10 @@
 		return this.admission;
 	}
 
+	OverloadGate overload() {
+		return this.overload;
+	}
+
 	RateShares shares() {
 		return this.shares;
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -255,6 +255,7 @@
 		this.fleet.expire(now);
 		this.healthChecks.update(now);
 		this.gateway.placement().update(this.fleet.localFractions(this.settings.region(), now), now);
+		this.gateway.overload().update(now);
 		this.gateway.regionFlow()
 			.closeWindow(now)
 			.filter((change) -> change.movedFraction() >= LOGGED_SHIFT_FRACTION)
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.masticlane.admission.OverloadControls;
+import io.masticlane.admission.OverloadState;
 import io.masticlane.operator.MetricsText;
 import io.masticlane.placement.Placement;
 import io.prometheus.metrics.core.metrics.Counter;
@@ -49,6 +51,30 @@
 		.labelNames("service")
 		.register(this.registry);
 
+	private final Gauge room = Gauge.builder()
+		.name("masticlane_gateway_room_requests")
+		.help("Requests that the servers of a service and region can hold, those that wait for a short time included.")
+		.labelNames("service", "region")
+		.register(this.registry);
+
+	private final Gauge demand = Gauge.builder()
+		.name("masticlane_gateway_demand_requests")
+		.help("Requests that the servers of a service and region would hold if all were admitted.")
+		.labelNames("service", "region")
+		.register(this.registry);
+
+	private final Gauge admittedFraction = Gauge.builder()
+		.name("masticlane_gateway_admitted_fraction")
+		.help("The fraction of the demanded work that this gateway admits to a service and region.")
+		.labelNames("service", "region")
+		.register(this.registry);
+
+	private final Counter overloadRefusals = Counter.builder()
+		.name("masticlane_gateway_overload_refusals_total")
+		.help("Requests that were refused because of overload, by priority.")
+		.labelNames("service", "region", "priority")
+		.register(this.registry);
+
 	private final Counter storeCalls = Counter.builder()
 		.name("masticlane_gateway_store_calls_total")
 		.help("Calls to the store by outcome.")
@@ -105,6 +131,16 @@
 		fractions.forEach((service, fraction) -> this.localFraction.labelValues(service).set(fraction));
 	}
 
+	void overload(OverloadControls.Scope scope, OverloadState state) {
+		this.room.labelValues(scope.service(), scope.region()).set(state.roomRequests());
+		this.demand.labelValues(scope.service(), scope.region()).set(state.demandRequests());
+		this.admittedFraction.labelValues(scope.service(), scope.region()).set(state.admittedFraction());
+	}
+
+	void overloadRefused(String service, String region, int priority) {
+		this.overloadRefusals.labelValues(service, region, String.valueOf(priority)).inc();
+	}
+
 	void storeCallFinished(boolean succeeded) {
 		this.storeCalls.labelValues(succeeded ? "answered" : "failed").inc();
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/Refusal.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Refusal.java
@@ -27,6 +27,12 @@
 	 */
 	static final String STOPPING = "stopping";
 
+	/**
+	 * The reason of a refusal because all servers of a service and region together are
+	 * overloaded.
+	 */
+	static final String OVERLOAD = "overload";
+
 	/**
 	 * Creates a refusal that load does not determine.
 	 * @param reason the reason in one word
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -14,6 +14,8 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
+import io.masticlane.admission.Room;
+import io.masticlane.admission.RoomSource;
 import io.masticlane.plan.PathRoute;
 
 /**
@@ -23,7 +25,7 @@
  * server receives an object only while queueing at the first one costs more than serving
  * an object that is not warm, that is, that the server has not recently served.
  */
-public final class Placement {
+public final class Placement implements RoomSource {
 
 	/**
 	 * The number of highest-ranked servers that may serve an object.
@@ -317,6 +319,11 @@
 		return detector != null && detector.isCongested();
 	}
 
+	@Override
+	public Room room(String service, String region, long now) {
+		return servers(service).room(region, (server) -> isInService(server, now), now);
+	}
+
 	/**
 	 * Returns the fraction of each service's objects that the gateway's region serves
 	 * itself. Services are omitted until there is traffic.
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -469,6 +469,15 @@
 		return Math.max(this.inFlight, this.reportedLoad + this.inFlight - this.inFlightAtReport);
 	}
 
+	/**
+	 * Returns the load for each slot of the server.
+	 * @param now the current time in nanoseconds
+	 * @return the requests for each slot, above 1 where requests are queued
+	 */
+	public double utilization(long now) {
+		return load(now) / (double) Math.max(1, this.entry.slots());
+	}
+
 	/**
 	 * Returns whether the server served an object within a period before the current
 	 * time.
@@ -515,7 +524,12 @@
 		return this.hash;
 	}
 
-	private boolean hasRecentReport(long now) {
+	/**
+	 * Returns whether the load follows from a recent response.
+	 * @param now the current time in nanoseconds
+	 * @return whether a response reported the load recently
+	 */
+	boolean hasRecentReport(long now) {
 		return this.hasReport && now - this.reportedAt <= REPORT_VALID_NANOS;
 	}
 
--- a/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import io.masticlane.admission.Room;
+
 /**
  * The servers of a service by region. Each request examines all of them, and services
  * with hundreds of servers are usual, so plain loops are used that allocate few objects.
@@ -69,6 +71,23 @@
 		return loads;
 	}
 
+	/**
+	 * Returns what the servers of a region can take.
+	 * @param region the name of the region
+	 * @param counted the condition for servers to be counted
+	 * @param now the current time in nanoseconds
+	 * @return the room
+	 */
+	Room room(String region, Predicate<ServerState> counted, long now) {
+		Room room = Room.NONE;
+		for (ServerState each : this.regions.getOrDefault(region, List.of())) {
+			if (counted.test(each)) {
+				room = room.plus(new Room.Server(each.entry().slots(), each.load(now), each.hasRecentReport(now), 1));
+			}
+		}
+		return room;
+	}
+
 	/**
 	 * Returns the servers that may receive a request. Unhealthy servers are excluded from
 	 * the preferred ones, unless so many are unhealthy that the servers themselves are
--- a/masticlane/src/test/java/io/masticlane/admission/AdmissionPolicyTests.java
+++ b/masticlane/src/test/java/io/masticlane/admission/AdmissionPolicyTests.java
@@ -39,4 +39,15 @@
 		assertTrue(this.policy.retryAfterMillis(1e9) <= 3_000);
 	}
 
+	/**
+	 * Guards against retries that arrive together, since callers shorten longer delays to
+	 * a third of their remaining time.
+	 */
+	@Test
+	public void retryDelaysAfterOverloadAreSpreadWithinWhatCallersHonour() {
+		assertEquals(new AdmissionPolicy(() -> 0).retryAfterMillis(1e9, 1_200), 200.0);
+		assertEquals(new AdmissionPolicy(() -> 1).retryAfterMillis(1e9, 1_200), 400.0);
+		assertEquals(this.policy.retryAfterMillis(400, 6_000), 600.0);
+	}
+
 }
