--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -187,6 +187,11 @@
 	 */
 	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
 
+	/**
+	 * The servers of a service and region became overloaded or are no longer.
+	 */
+	OVERLOAD_CHANGED(6114, Severity.INFORMATION, "service={} region={} state={} admitted={} room={} demand={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -57,6 +57,8 @@
 
 	private final AdmissionPolicy admission = new AdmissionPolicy(() -> ThreadLocalRandom.current().nextDouble());
 
+	private final OverloadGate overload;
+
 	private final RateShares shares = new RateShares(() -> ThreadLocalRandom.current().nextDouble());
 
 	private final WeightedRoundRobin splits = new WeightedRoundRobin();
@@ -94,6 +96,7 @@
 		this.fleet = fleet;
 		this.pipelineEvents = new PipelineEvents(this.metrics, events);
 		this.placement = new Placement(settings.region(), settings.coldOvershoot(), settings.coldSlack());
+		this.overload = new OverloadGate(this.placement, this.admission, this.metrics, events);
 		this.servers = new ConnectionPool(loop, GatewayTimes.CONNECT_TIMEOUT_MILLIS, GatewayTimes.IDLE_TIMEOUT_MILLIS,
 				this.memory, this::unexpectedDataReceived);
 		this.announcements = new ServerAnnouncements(this.servers, events);
@@ -112,6 +115,7 @@
 
 	void plan(TrafficPlan updated) {
 		this.plan = updated;
+		this.overload.enable(updated.hasDownloads());
 		this.shares.organisations(updated.organisations().values());
 		this.downloads.plan(updated);
 		this.metrics.planChanged(updated.version());
@@ -202,6 +206,10 @@
 		return this.admission;
 	}
 
+	OverloadGate overload() {
+		return this.overload;
+	}
+
 	RateShares shares() {
 		return this.shares;
 	}
