Test field names that are no token and a status of 000 on each path

Change: each character that no token has is tested at five positions of a name, as the first and last header, in interim responses, behind another response and with three framings.

--- a/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
+++ b/masticlane/src/test/java/io/masticlane/backend/BackendHandlerTests.java
@@ -64,6 +64,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a status that is none with a body of any framing, or before or
+	 * behind an interim response.
+	 */
+	@Test
+	public void aResponseWithStatus000IsReportedAsLost() {
+		for (String text : List.of("000 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "000 X\r\n\r\nbody",
+				"100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+				"000 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) {
+			for (boolean reused : new boolean[] { false, true }) {
+				assertEquals(received("HTTP/1.1 " + text, reused), List.of("LOST"), text);
+			}
+		}
+	}
+
 	/**
 	 * Guards against a part of a body as the whole one after a write failed.
 	 */
--- a/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
+++ b/masticlane/src/test/java/io/masticlane/client/ResponseDecoderTests.java
@@ -54,6 +54,35 @@
 		assertFails(ResponseHeads.OK, header);
 	}
 
+	@DataProvider
+	public Object[][] namesThatAreNoToken() {
+		return rows(ResponseHeads.namesThatAreNoToken());
+	}
+
+	/**
+	 * Guards against a name with an illegal character, such as {@code @}, in one place of
+	 * a head only: anywhere in the name, as the first or last header, in a response
+	 * behind another one, in an interim response, and with any framing of the body.
+	 * @param name the name of the header
+	 */
+	@Test(dataProvider = "namesThatAreNoToken")
+	public void aNameThatIsNoTokenFailsTheResponseWhereverItIs(String name) {
+		String header = name + ": value\r\n";
+		for (String framing : List.of("Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "Server: s\r\n")) {
+			for (String text : List.of(ResponseHeads.OK + "\r\n" + header + framing + "\r\nok",
+					ResponseHeads.OK + "\r\n" + framing + "X-Empty:\r\n" + header + "\r\nok",
+					"HTTP/1.1 100 Continue\r\n" + header + "\r\n" + ResponseHeads.OK + "\r\n" + framing + "\r\nok")) {
+				EmbeddedChannel channel = channel(false);
+				write(channel, ResponseHeads.OK + "\r\nContent-Length: 0\r\n\r\n" + text, false);
+				channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+				FullHttpResponse sound = channel.readInbound();
+				FullHttpResponse malformed = channel.readInbound();
+				assertTrue(sound.decoderResult().isSuccess() && malformed.decoderResult().isFailure(), text);
+				channel.finishAndReleaseAll();
+			}
+		}
+	}
+
 	@Test(dataProvider = "malformedHeaders")
 	public void aMalformedTrailerFailsTheResponse(String trailer) {
 		for (boolean inPieces : new boolean[] { false, true }) {
