Split the failures, load, pause and coldness off the state of a server

Change: ServerFailures (consecutive failures and ejection), ReportedLoad, ServerPause (pause and the limit after it) and Coldness (cold or possibly cold, and the requests that count against the bound) are classes of their own. No behaviour changes.

--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -12,40 +12,11 @@
  */
 public final class ServerState {
 
-	/**
-	 * The age beyond which a reported load is ignored.
-	 */
-	private static final long REPORT_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-	/**
-	 * The requests for each slot of a saturated server: the running ones and as many in
-	 * its queue.
-	 */
-	private static final int SATURATED_REQUESTS_PER_SLOT = 2;
-
 	/**
 	 * The number of objects that are recorded for each server; servers keep fewer warm.
 	 */
 	private static final int MAXIMUM_RECORDED_OBJECTS = 64;
 
-	private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-	/**
-	 * The duration of the first ejection; it doubles with each further one up to eight
-	 * times as long.
-	 */
-	private static final long FIRST_EJECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-	/**
-	 * The maximum number of times that the duration of an ejection doubles.
-	 */
-	private static final int MAXIMUM_EJECTION_SHIFT = 3;
-
-	/**
-	 * The number of consecutive failures after which a server is ejected.
-	 */
-	private static final int FAILURES_BEFORE_EJECTION = 3;
-
 	/**
 	 * The period after a server was unreachable in which an entry with the same start
 	 * time may have been written before the server became unreachable. It covers a read
@@ -53,12 +24,6 @@
 	 */
 	private static final long ENTRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-	/**
-	 * The period after a server was unreachable in which it may be cold if no entry
-	 * reports its state; a server is cold for some seconds after its start.
-	 */
-	private static final long POSSIBLY_COLD_NANOS = TimeUnit.SECONDS.toNanos(10);
-
 	/**
 	 * The period after a response in which a failed connection indicates a congested
 	 * server rather than a lost one; no server restarts within it.
@@ -71,24 +36,6 @@
 	 */
 	private static final long LEAVING_NANOS = TimeUnit.MINUTES.toNanos(10);
 
-	/**
-	 * The longest pause that a server can ask for.
-	 */
-	private static final long MAXIMUM_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(5);
-
-	/**
-	 * How long after a pause the requests in flight to the server are limited.
-	 */
-	private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-	private static final double FAILURE_WEIGHT = 0.15;
-
-	/**
-	 * The moving average of failures above which a server is ejected although some
-	 * requests succeed.
-	 */
-	private static final double EJECTION_FAILURE_RATIO = 0.35;
-
 	private final long hash;
 
 	private final Map<Long, Long> servedAt = new LinkedHashMap<>(16, 0.75f, true) {
@@ -98,7 +45,13 @@
 		}
 	};
 
-	private final RequestTimes requestTimes = new RequestTimes();
+	private final Coldness coldness;
+
+	private final ReportedLoad reportedLoad = new ReportedLoad();
+
+	private final ServerPause pause = new ServerPause();
+
+	private final ServerFailures failures = new ServerFailures();
 
 	private final Slowness slowness = new Slowness();
 
@@ -110,50 +63,14 @@
 
 	private int inFlight;
 
-	private int reportedLoad;
-
-	private int inFlightAtReport;
-
-	private long reportedAt;
-
-	private boolean hasReport;
-
-	private boolean saturated;
-
-	private long coldUntil;
-
-	private boolean cold;
-
-	private long warmAt;
-
-	private boolean possiblyCold;
-
-	private long unreachableAt;
-
 	private boolean hasResponded;
 
 	private long lastResponseAt;
 
-	private long ejectedUntil;
-
-	private boolean ejected;
-
-	private int ejections;
-
 	private boolean leaving;
 
 	private long leavingUntil;
 
-	private boolean paused;
-
-	private long pausedUntil;
-
-	private int returnLimit;
-
-	private int consecutiveFailures;
-
-	private double failureRatio;
-
 	/**
 	 * Creates the state of a server.
 	 * @param entry the entry of the server
@@ -164,7 +81,7 @@
 		this.hash = Rendezvous.hash(entry.id());
 		this.region = region;
 		this.discoveredAt = now;
-		this.warmAt = now - SECOND_NANOS;
+		this.coldness = new Coldness(now);
 		entry(entry, now);
 	}
 
@@ -186,25 +103,15 @@
 	 */
 	public void entry(RegisteredServer updated, long readDelayNanos, long now) {
 		boolean restarted = this.entry != null && this.entry.startedAt() != updated.startedAt();
-		if (restarted || now - this.unreachableAt > readDelayNanos) {
-			this.possiblyCold = false;
-		}
 		if (restarted) {
 			this.servedAt.clear();
-			this.hasReport = false;
-			this.saturated = false;
-			this.consecutiveFailures = 0;
-			this.failureRatio = 0;
-			this.ejected = false;
+			this.reportedLoad.clear();
+			this.failures.restart();
 			this.leaving = false;
-			this.paused = false;
-			this.returnLimit = 0;
+			this.pause.clear();
 		}
 		this.entry = updated;
-		this.cold = false;
-		if (updated.coldMillis() > 0) {
-			markCold(updated.coldMillis(), now);
-		}
+		this.coldness.recordEntry(restarted, readDelayNanos, updated.coldMillis(), now);
 	}
 
 	/**
@@ -213,8 +120,7 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void markCold(long millis, long now) {
-		this.cold = true;
-		this.coldUntil = now + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.coldness.markCold(millis, now);
 	}
 
 	/**
@@ -237,12 +143,7 @@
 	 * @return whether the server was not pausing
 	 */
 	public boolean recordPause(long millis, long now) {
-		boolean known = pauseMillis(now) > 0;
-		long until = now + Math.min(MAXIMUM_PAUSE_NANOS, TimeUnit.MILLISECONDS.toNanos(millis));
-		this.pausedUntil = known ? Math.max(this.pausedUntil, until) : until;
-		this.paused = true;
-		this.returnLimit = 1;
-		return !known;
+		return this.pause.record(millis, now);
 	}
 
 	/**
@@ -263,25 +164,17 @@
 	 * @return the time in milliseconds, or zero
 	 */
 	public long pauseMillis(long now) {
-		if (this.paused && now - this.pausedUntil >= 0) {
-			this.paused = false;
-		}
-		return this.paused ? 1 + TimeUnit.NANOSECONDS.toMillis(this.pausedUntil - now) : 0;
+		return this.pause.remainingMillis(now);
 	}
 
 	/**
 	 * Returns whether the server returns from a pause and has as many requests in flight
-	 * as it may at present. The limit begins with one request and doubles with each
-	 * response, so that the server is not turned away again by a wave of requests from
-	 * all gateways.
+	 * as it may at present.
 	 * @param now the current time in nanoseconds
 	 * @return whether the server may receive no further request until another one ended
 	 */
 	public boolean isReturnLimitReached(long now) {
-		if (this.returnLimit > 0 && now - this.pausedUntil > RETURN_NANOS) {
-			this.returnLimit = 0;
-		}
-		return this.returnLimit > 0 && this.inFlight >= this.returnLimit;
+		return this.pause.isReturnLimitReached(this.inFlight, now);
 	}
 
 	/**
@@ -290,7 +183,7 @@
 	 */
 	public void recordRequestSent(long now) {
 		this.inFlight++;
-		this.requestTimes.add(now);
+		this.coldness.recordRequestSent(now);
 	}
 
 	/**
@@ -306,11 +199,7 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordReportedLoad(int requests, long now) {
-		this.hasReport = true;
-		this.saturated = false;
-		this.reportedLoad = requests;
-		this.inFlightAtReport = this.inFlight;
-		this.reportedAt = now;
+		this.reportedLoad.record(requests, this.inFlight, now);
 	}
 
 	/**
@@ -323,24 +212,13 @@
 	public void recordResponse(long object, boolean success, long sentAt, long now) {
 		this.hasResponded = true;
 		this.lastResponseAt = now;
-		if (this.possiblyCold && sentAt - this.unreachableAt < 0) {
-			this.possiblyCold = false;
-			this.ejected = false;
+		if (this.coldness.recordResponse(sentAt)) {
+			this.failures.readmit();
 		}
-		this.consecutiveFailures = 0;
-		this.failureRatio += FAILURE_WEIGHT * ((success ? 0 : 1) - this.failureRatio);
+		this.failures.recordResponse(success, now);
 		if (success) {
-			if (sentAt - this.pausedUntil >= 0) {
-				this.returnLimit = (2 * this.returnLimit <= this.entry.slots()) ? 2 * this.returnLimit : 0;
-			}
+			this.pause.recordServed(sentAt, this.entry.slots());
 			this.servedAt.put(object, now);
-			if (!this.ejected) {
-				this.ejections = 0;
-			}
-		}
-		else if (this.failureRatio > EJECTION_FAILURE_RATIO) {
-			this.failureRatio = 0;
-			eject(now);
 		}
 	}
 
@@ -349,23 +227,17 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordFailure(long now) {
-		this.consecutiveFailures++;
-		if (this.consecutiveFailures >= FAILURES_BEFORE_EJECTION) {
-			this.consecutiveFailures = 0;
-			eject(now);
-		}
+		this.failures.recordFailure(now);
 	}
 
 	/**
 	 * Records that no response was received in time. A server that responded to other
 	 * requests in the meantime is slow rather than unresponsive, which is not a failure.
-	 * Without a recent report, its slots and its queue are taken by requests of other
-	 * gateways.
 	 * @param sentAt the time at which the request was sent, in nanoseconds
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordTimeout(long sentAt, long now) {
-		this.saturated |= !hasRecentReport(now);
+		this.reportedLoad.recordTimeout(now);
 		if (!this.hasResponded || this.lastResponseAt - sentAt < 0) {
 			recordFailure(now);
 		}
@@ -400,9 +272,8 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public void recordLost(long now) {
-		this.possiblyCold = true;
-		this.unreachableAt = now;
-		eject(now);
+		this.coldness.recordLost(now);
+		this.failures.eject(now);
 	}
 
 	/**
@@ -411,10 +282,7 @@
 	 * @return whether the server is ejected
 	 */
 	public boolean isEjected(long now) {
-		if (this.ejected && now - this.ejectedUntil >= 0) {
-			this.ejected = false;
-		}
-		return this.ejected;
+		return this.failures.isEjected(now);
 	}
 
 	/**
@@ -423,13 +291,7 @@
 	 * @return whether the server is considered cold
 	 */
 	public boolean isCold(long now) {
-		if (this.cold && now - this.coldUntil >= 0) {
-			this.cold = false;
-		}
-		if (this.possiblyCold && now - this.unreachableAt > POSSIBLY_COLD_NANOS) {
-			this.possiblyCold = false;
-		}
-		return this.cold || this.possiblyCold;
+		return this.coldness.isCold(now);
 	}
 
 	/**
@@ -437,9 +299,7 @@
 	 * @param askedAt the time at which it was asked, in nanoseconds
 	 */
 	public void recordWarm(long askedAt) {
-		if (askedAt - this.warmAt > 0) {
-			this.warmAt = askedAt;
-		}
+		this.coldness.recordWarm(askedAt);
 	}
 
 	/**
@@ -449,24 +309,17 @@
 	 * @return the number of requests
 	 */
 	public int possiblyColdRequestsInLastSecond(long now) {
-		long secondAgo = now - SECOND_NANOS;
-		return this.requestTimes.countAfter((this.warmAt - secondAgo > 0) ? this.warmAt : secondAgo);
+		return this.coldness.requestsInLastSecond(now);
 	}
 
 	/**
 	 * Estimates the number of requests that the server is processing or has queued for
-	 * all gateways. A saturated server counts as full while one request is in flight,
-	 * whose response would report the load: if each gateway counted its own requests
-	 * only, together they would keep the server's queue longer than any request may wait.
+	 * all gateways.
 	 * @param now the current time in nanoseconds
 	 * @return the estimated number of requests
 	 */
 	public int load(long now) {
-		if (!hasRecentReport(now)) {
-			return (this.saturated && this.inFlight > 0) ? SATURATED_REQUESTS_PER_SLOT * this.entry.slots()
-					: this.inFlight;
-		}
-		return Math.max(this.inFlight, this.reportedLoad + this.inFlight - this.inFlightAtReport);
+		return this.reportedLoad.estimate(this.entry.slots(), this.inFlight, now);
 	}
 
 	/**
@@ -515,14 +368,4 @@
 		return this.hash;
 	}
 
-	private boolean hasRecentReport(long now) {
-		return this.hasReport && now - this.reportedAt <= REPORT_VALID_NANOS;
-	}
-
-	private void eject(long now) {
-		this.ejected = true;
-		this.ejectedUntil = now + (FIRST_EJECTION_NANOS << Math.min(MAXIMUM_EJECTION_SHIFT, this.ejections));
-		this.ejections++;
-	}
-
 }
