Split the bounds of cold servers and the expected times off the placement

Change: PlacementRequest, PlacementChoice and PlacementReason were nested in Placement and are classes of their own. ColdBounds holds the bounds on the requests to cold servers, ExpectedTimes estimates response times. No behaviour changes; the tests change by the new names only.

PlacementTests, ServerStateTests, ServiceServersTests, PlacementUnderLoadTests, RegionFlowTests and WireDialectTests pass.

--- a/masticlane/src/main/java/io/masticlane/gateway/AdmittedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/AdmittedRequest.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementRequest;
 import io.masticlane.plan.Entitlement;
 import io.masticlane.plan.OrganisationPlan;
 import io.masticlane.plan.PathRoute;
@@ -20,7 +20,7 @@
  * @param begunAt the time at which the first byte of the request was read, in nanoseconds
  */
 record AdmittedRequest(FullHttpRequest message, String path, Dialect.CallerRequest headers, PathRoute route,
-		Optional<OrganisationPlan> organisation, Placement.Request placement, long begunAt) {
+		Optional<OrganisationPlan> organisation, PlacementRequest placement, long begunAt) {
 
 	String service() {
 		return this.placement.service();
--- a/masticlane/src/main/java/io/masticlane/gateway/AttemptPlacer.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/AttemptPlacer.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
 
 /**
  * Chooses the server of an attempt and decides whether the request is sent to it.
@@ -33,7 +33,7 @@
 	 * @param refused receives the refusal if the request is not to be sent
 	 * @return the choice, or empty if the request is refused
 	 */
-	Optional<Placement.Choice> place(AdmittedRequest request, RequestClock clock, Set<String> excluded, long now,
+	Optional<PlacementChoice> place(AdmittedRequest request, RequestClock clock, Set<String> excluded, long now,
 			Consumer<Refusal> refused) {
 		if (clock.remainingMillis() < MINIMUM_ATTEMPT_MILLIS) {
 			refused.accept(Refusal.of("no_time_left"));
@@ -44,7 +44,7 @@
 					Refusal.OTHER_GATEWAY_RETRY_AFTER_MILLIS));
 			return Optional.empty();
 		}
-		Optional<Placement.Choice> found = this.gateway.placement()
+		Optional<PlacementChoice> found = this.gateway.placement()
 			.choose(request.placement().withExcluded(excluded), now);
 		if (found.isEmpty()) {
 			OptionalLong pauseMillis = this.gateway.placement().pauseMillis(request.placement(), now);
@@ -64,7 +64,7 @@
 					this.gateway.placement().serviceTimes(request.route()).expectedMillis(false));
 	}
 
-	private Optional<Refusal> refusalForLoad(AdmittedRequest request, RequestClock clock, Placement.Choice chosen) {
+	private Optional<Refusal> refusalForLoad(AdmittedRequest request, RequestClock clock, PlacementChoice chosen) {
 		boolean congested = this.gateway.placement().isCongested(request.service(), chosen.server().region());
 		double latestMillis = this.gateway.admission()
 			.latestResponseMillis(request.route().objectiveMillis() - clock.ageMillis(), clock.remainingMillis(),
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.operator.MetricsText;
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -97,7 +97,7 @@
 		this.attempts.labelValues(outcome).inc();
 	}
 
-	void regionChosen(String service, Placement.Choice choice) {
+	void regionChosen(String service, PlacementChoice choice) {
 		this.regionChoices.labelValues(service, choice.server().region(), choice.reason().name()).inc();
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.client.ConnectionUse;
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementRequest;
 import io.masticlane.placement.Rendezvous;
 import io.masticlane.plan.Entitlement;
 import io.masticlane.plan.OrganisationPlan;
@@ -220,8 +220,8 @@
 		long requestHash = Rendezvous.hash(this.callerRequest.id());
 		long objectHash = this.route.sticky() ? this.callerRequest.object().map(Rendezvous::hash).orElse(requestHash)
 				: requestHash;
-		Placement.Request placement = new Placement.Request(this.route, service, objectHash, requestHash,
-				allowedRegions, Set.of(), this.route.objectiveMillis(),
+		PlacementRequest placement = new PlacementRequest(this.route, service, objectHash, requestHash, allowedRegions,
+				Set.of(), this.route.objectiveMillis(),
 				this.plan.service(service).map(ServicePlan::coldRequestsPerSecond).orElse(0.0),
 				this.gateway.gatewaysInRegion());
 		this.deadlineTimer = this.gateway.loop()
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestAttempts.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestAttempts.java
@@ -8,7 +8,7 @@
 import io.masticlane.client.ClientCall;
 import io.masticlane.client.ConnectionUse;
 import io.masticlane.client.ResponseListener;
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.OrganisationPlan;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -71,7 +71,7 @@
 
 	private final Set<String> sentToServers = new HashSet<>();
 
-	private Placement.Choice choice;
+	private PlacementChoice choice;
 
 	private ClientCall call;
 
@@ -189,7 +189,7 @@
 			.ifPresent((chosen) -> send(chosen, now));
 	}
 
-	private void send(Placement.Choice chosen, long now) {
+	private void send(PlacementChoice chosen, long now) {
 		this.choice = chosen;
 		ServerState server = chosen.server();
 		FullHttpRequest forwarded = ForwardedRequest.of(this.request.message(), this.request.path(),
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -5,7 +5,7 @@
 import io.masticlane.client.ConnectionUse;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
-import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.OrganisationPlan;
 
@@ -35,7 +35,7 @@
 		this.route = name;
 	}
 
-	void served(int status, int attempts, Placement.Choice choice, ConnectionUse use) {
+	void served(int status, int attempts, PlacementChoice choice, ConnectionUse use) {
 		this.log.record(Event.REQUEST_SERVED, this.id, status, this.route, choice.server().entry().id(), attempts,
 				ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), use.connection(), use.calls(),
 				use.repeated(), this.planVersion);
--- a/masticlane/src/main/java/io/masticlane/placement/Placement.java
+++ b/masticlane/src/main/java/io/masticlane/placement/Placement.java
@@ -30,41 +30,12 @@
 	 */
 	private static final int CANDIDATES_PER_OBJECT = 3;
 
-	/**
-	 * The period for which an object is assumed to stay warm on a server that served it.
-	 */
-	private static final long WARM_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-	/**
-	 * The additional cost of each lower rank, as a fraction of the additional time that
-	 * an object takes when it is not warm. A server keeps few objects, and an object that
-	 * is spread over several servers evicts others.
-	 */
-	private static final double RANK_PENALTY = 0.5;
-
 	/**
 	 * The slowness of an object's server above which other servers receive the object
 	 * although the region is congested.
 	 */
 	private static final double SPREADING_SLOWNESS = 4;
 
-	/**
-	 * The period after its discovery in which a server is assumed to hold no warm
-	 * objects.
-	 */
-	private static final long NEW_SERVER_NANOS = TimeUnit.SECONDS.toNanos(5);
-
-	/**
-	 * The round trip to another region, about twice the one-way latency of 35 ms.
-	 */
-	private static final double INTER_REGION_ROUND_TRIP_MILLIS = 75;
-
-	/**
-	 * The fraction of a cold server's request bound that is used, as there may be more
-	 * gateways than this one knows of.
-	 */
-	private static final double COLD_BOUND_FRACTION = 0.8;
-
 	/**
 	 * The maximum fraction of a service's servers that is excluded because of failures;
 	 * beyond it, ejections are ignored.
@@ -94,9 +65,9 @@
 
 	private final String region;
 
-	private double coldOvershoot;
+	private final ColdBounds coldBounds;
 
-	private double coldSlack;
+	private final ExpectedTimes expectedTimes;
 
 	private final Map<String, ServiceServers> services = new HashMap<>();
 
@@ -108,8 +79,6 @@
 
 	private final Map<String, CongestionDetector> congestionDetectors = new HashMap<>();
 
-	private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
-
 	private Set<String> evacuatedDataCentres = Set.of();
 
 	private Set<String> outdatedServices = Set.of();
@@ -126,8 +95,8 @@
 	 */
 	public Placement(String region, double coldOvershoot, double coldSlack) {
 		this.region = region;
-		this.coldOvershoot = coldOvershoot;
-		this.coldSlack = coldSlack;
+		this.coldBounds = new ColdBounds(region, coldOvershoot, coldSlack);
+		this.expectedTimes = new ExpectedTimes(region);
 	}
 
 	/**
@@ -136,8 +105,7 @@
 	 * @param slack the requests per second that a cold server may receive in addition
 	 */
 	public void setColdBounds(double overshoot, double slack) {
-		this.coldOvershoot = overshoot;
-		this.coldSlack = slack;
+		this.coldBounds.set(overshoot, slack);
 	}
 
 	/**
@@ -205,9 +173,8 @@
 	 * @return whether the server is to be asked
 	 */
 	public boolean isNearColdBound(ServerState server, double coldRequestsPerSecond, int gatewaysInRegion, long now) {
-		int sent = server.possiblyColdRequestsInLastSecond(now);
-		return sent > 0 && isInService(server, now) && !server.isCold(now)
-				&& 2 * sent >= possiblyColdAllowance(server, coldRequestsPerSecond, gatewaysInRegion);
+		return isInService(server, now) && !server.isCold(now)
+				&& this.coldBounds.isNear(server, coldRequestsPerSecond, gatewaysInRegion, now);
 	}
 
 	/**
@@ -243,7 +210,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the choice, or empty if no server may receive the request
 	 */
-	public Optional<Choice> choose(Request request, long now) {
+	public Optional<PlacementChoice> choose(PlacementRequest request, long now) {
 		this.overflowTokens = Math.min(MAXIMUM_OVERFLOW_TOKENS, this.overflowTokens + OVERFLOW_TOKENS_PER_REQUEST);
 		UsableServers servers = servers(request.service()).usableServers(
 				(server) -> isInService(server, now) && !server.isReturnLimitReached(now) && isAllowed(request, server),
@@ -255,9 +222,9 @@
 			.computeIfAbsent(request.route().name(), (route) -> new RouteRegionSplit())
 			.splitFor(splitController(request.service()), now)
 			.regionOf(request.object(), request.requestHash(), servers.regions());
-		Reason reason = assignmentReason(request, assignedRegion);
-		Optional<Choice> healthyChoice = chooseFastest(request, servers.healthy(assignedRegion), now);
-		Optional<Choice> best = healthyChoice
+		PlacementReason reason = assignmentReason(request, assignedRegion);
+		Optional<PlacementChoice> healthyChoice = chooseFastest(request, servers.healthy(assignedRegion), now);
+		Optional<PlacementChoice> best = healthyChoice
 			.or(() -> chooseFastest(request, excludeCold(servers.all(assignedRegion), now), now))
 			.map((each) -> each.withReason(reason));
 		boolean overloaded = healthyChoice.isEmpty()
@@ -268,11 +235,12 @@
 				.filter((name) -> !name.equals(assignedRegion) && !servers.healthy(name).isEmpty())
 				.map((name) -> highestRanked(request, servers.healthy(name)))
 				.toList();
-			Optional<Choice> alternative = chooseFastest(request, otherServers, now);
+			Optional<PlacementChoice> alternative = chooseFastest(request, otherServers, now);
 			if (alternative.isPresent() && (healthyChoice.isEmpty()
 					|| alternative.get().expectedMillis() < healthyChoice.get().expectedMillis())) {
 				this.overflowTokens = Math.max(0, this.overflowTokens - 1);
-				Reason overflowReason = best.isEmpty() ? Reason.NO_CANDIDATE : Reason.OVERFLOW;
+				PlacementReason overflowReason = best.isEmpty() ? PlacementReason.NO_CANDIDATE
+						: PlacementReason.OVERFLOW;
 				return alternative.map((each) -> each.withReason(overflowReason));
 			}
 		}
@@ -286,7 +254,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the time in milliseconds, or empty if no server is pausing or returning
 	 */
-	public OptionalLong pauseMillis(Request request, long now) {
+	public OptionalLong pauseMillis(PlacementRequest request, long now) {
 		return servers(request.service()).all()
 			.stream()
 			.filter((server) -> !server.isLeaving(now) && isAllowed(request, server))
@@ -302,7 +270,7 @@
 	 * @return its service times
 	 */
 	public ServiceTimes serviceTimes(PathRoute route) {
-		return this.serviceTimes.computeIfAbsent(route.name(), (name) -> new ServiceTimes(route.objectiveMillis()));
+		return this.expectedTimes.of(route);
 	}
 
 	/**
@@ -329,11 +297,11 @@
 			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().localFraction()));
 	}
 
-	private Reason assignmentReason(Request request, String assignedRegion) {
+	private PlacementReason assignmentReason(PlacementRequest request, String assignedRegion) {
 		if (!request.allowedRegions().isEmpty()) {
-			return Reason.BOUND;
+			return PlacementReason.BOUND;
 		}
-		return assignedRegion.equals(this.region) ? Reason.OWN : Reason.ASSIGNED;
+		return assignedRegion.equals(this.region) ? PlacementReason.OWN : PlacementReason.ASSIGNED;
 	}
 
 	private boolean isInService(ServerState server, long now) {
@@ -341,7 +309,7 @@
 				|| !this.evacuatedDataCentres.contains(server.entry().dataCentre()));
 	}
 
-	private static boolean isAllowed(Request request, ServerState server) {
+	private static boolean isAllowed(PlacementRequest request, ServerState server) {
 		return (request.excluded().isEmpty() || !request.excluded().contains(server.entry().id()))
 				&& (request.allowedRegions().isEmpty() || request.allowedRegions().contains(server.region()));
 	}
@@ -354,32 +322,32 @@
 		return this.splitControllers.computeIfAbsent(service, (name) -> new RegionSplitController(this.region));
 	}
 
-	private Optional<Choice> chooseFastest(Request request, List<ServerState> servers, long now) {
+	private Optional<PlacementChoice> chooseFastest(PlacementRequest request, List<ServerState> servers, long now) {
 		boolean outdated = this.outdatedServices.contains(request.service());
 		Predicate<ServerState> usable = (each) -> !each.isCold(now)
-				&& (!outdated || hasPossiblyColdCapacity(each, request, now));
+				&& (!outdated || this.coldBounds.hasPossiblyColdCapacity(each, request, now));
 		List<ServerState> candidates = servers.stream().filter(usable).toList();
 		if (candidates.isEmpty()) {
 			candidates = servers.stream()
-				.filter((each) -> each.isCold(now) && hasColdCapacity(each, request, now))
+				.filter((each) -> each.isCold(now) && this.coldBounds.hasColdCapacity(each, request, now))
 				.toList();
 		}
 		List<ServerState> ranked = withAssignedFirst(request, ranked(request, candidates), now);
-		List<Choice> choices = new ArrayList<>();
+		List<PlacementChoice> choices = new ArrayList<>();
 		boolean congested = !ranked.isEmpty() && isCongested(request.service(), ranked.get(0).region());
 		boolean spread = !congested || ranked.get(0).slowness().factor(now) > SPREADING_SLOWNESS;
 		// Where no server has free slots, another one would only hold the object as well.
 		ranked.stream()
 			.limit(spread ? CANDIDATES_PER_OBJECT : 1)
-			.forEach((server) -> choices.add(choice(request, server, choices.size(), now)));
-		return choices.stream().min(Comparator.comparingDouble(Choice::expectedMillis));
+			.forEach((server) -> choices.add(this.expectedTimes.choice(request, server, choices.size(), now)));
+		return choices.stream().min(Comparator.comparingDouble(PlacementChoice::expectedMillis));
 	}
 
 	private static List<ServerState> excludeCold(List<ServerState> servers, long now) {
 		return servers.stream().filter((each) -> !each.isCold(now)).toList();
 	}
 
-	private List<ServerState> withAssignedFirst(Request request, List<ServerState> ranked, long now) {
+	private List<ServerState> withAssignedFirst(PlacementRequest request, List<ServerState> ranked, long now) {
 		boolean local = !ranked.isEmpty() && ranked.get(0).region().equals(this.region);
 		if (!local || !request.route().sticky() || !request.excluded().isEmpty()) {
 			return ranked;
@@ -391,202 +359,22 @@
 		return reordered;
 	}
 
-	private static ServerState highestRanked(Request request, List<ServerState> servers) {
+	private static ServerState highestRanked(PlacementRequest request, List<ServerState> servers) {
 		return Collections.max(servers, Comparator.comparingDouble((server) -> score(request, server)));
 	}
 
-	private static double score(Request request, ServerState server) {
+	private static double score(PlacementRequest request, ServerState server) {
 		return Rendezvous.score(request.object(), server.hash(), Math.max(1, server.entry().slots()));
 	}
 
-	private static List<ServerState> ranked(Request request, Collection<ServerState> servers) {
+	private static List<ServerState> ranked(PlacementRequest request, Collection<ServerState> servers) {
 		List<Ranked> ranked = new ArrayList<>(servers.size());
 		servers.forEach((server) -> ranked.add(new Ranked(score(request, server), server)));
 		ranked.sort(BY_SCORE_DESCENDING);
 		return ranked.stream().map(Ranked::server).toList();
 	}
 
-	private Choice choice(Request request, ServerState server, int rank, long now) {
-		ServiceTimes times = serviceTimes(request.route());
-		boolean served = server.hasServed(request.object(), WARM_NANOS, now);
-		boolean sticky = request.route().sticky();
-		boolean warm = !sticky || served || rank == 0 && server.nanosSinceDiscovery(now) > NEW_SERVER_NANOS;
-		double queueing = queueMillis(times, server, now);
-		double rankPenalty = sticky ? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true))
-				: 0;
-		double slowness = server.slowness().factor(now);
-		double roundTrip = server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS;
-		double warmMillis = queueing + times.expectedMillis(true);
-		double usualMillis = queueing + times.expectedMillis(served) + roundTrip;
-		return new Choice(server, rankPenalty + (queueing + times.expectedMillis(warm)) * slowness + roundTrip,
-				server.load(now) < server.entry().slots(), served, warmMillis, usualMillis,
-				Math.max(usualMillis, warmMillis * slowness), Reason.OWN);
-	}
-
-	private static double queueMillis(ServiceTimes times, ServerState server, long now) {
-		int slots = Math.max(1, server.entry().slots());
-		double queued = Math.max(0, server.load(now) + 1 - slots);
-		return queued * times.expectedMillis(true) / slots;
-	}
-
-	private boolean hasColdCapacity(ServerState server, Request request, long now) {
-		return server.region().equals(this.region)
-				&& server.possiblyColdRequestsInLastSecond(now) < coldAllowance(request.coldRequestsPerSecond(),
-						request.gatewaysInRegion());
-	}
-
-	private boolean hasPossiblyColdCapacity(ServerState server, Request request, long now) {
-		return server.possiblyColdRequestsInLastSecond(now) < possiblyColdAllowance(server,
-				request.coldRequestsPerSecond(), request.gatewaysInRegion());
-	}
-
-	// The gateways of the server's own region divide the bound among them, so those of
-	// other regions send one request at a time.
-	private int possiblyColdAllowance(ServerState server, double coldRequestsPerSecond, int gatewaysInRegion) {
-		return server.region().equals(this.region) ? Math.max(1, coldAllowance(coldRequestsPerSecond, gatewaysInRegion))
-				: 1;
-	}
-
-	private int coldAllowance(double coldRequestsPerSecond, int gatewaysInRegion) {
-		double bound = coldRequestsPerSecond * this.coldOvershoot + this.coldSlack;
-		return (int) Math.min(RequestTimes.CAPACITY, bound * COLD_BOUND_FRACTION / gatewaysInRegion);
-	}
-
 	private record Ranked(double score, ServerState server) {
 	}
 
-	/**
-	 * A request that a server is chosen for.
-	 *
-	 * @param route the route
-	 * @param service the name of the service, one of the route's services
-	 * @param object the hash of the object, or of the request if it names no object
-	 * @param requestHash the hash of the request, different for each request
-	 * @param allowedRegions the regions that may serve the request; empty if all may
-	 * @param excluded the identifiers of the servers that already received the request
-	 * @param objectiveMillis the response time objective of the route
-	 * @param coldRequestsPerSecond the rate of requests that a cold server of the service
-	 * can handle
-	 * @param gatewaysInRegion the number of gateways in the region, which share that rate
-	 */
-	public record Request(PathRoute route, String service, long object, long requestHash, Set<String> allowedRegions,
-			Set<String> excluded, double objectiveMillis, double coldRequestsPerSecond, int gatewaysInRegion) {
-
-		public Request {
-			allowedRegions = Set.copyOf(allowedRegions);
-			excluded = Set.copyOf(excluded);
-		}
-
-		/**
-		 * Returns the request for another attempt.
-		 * @param tried the identifiers of the servers that already received the request
-		 * @return the request without those servers
-		 */
-		public Request withExcluded(Set<String> tried) {
-			return new Request(this.route, this.service, this.object, this.requestHash, this.allowedRegions, tried,
-					this.objectiveMillis, this.coldRequestsPerSecond, this.gatewaysInRegion);
-		}
-
-	}
-
-	/**
-	 * A chosen server.
-	 *
-	 * @param server the server
-	 * @param expectedMillis the expected response time
-	 * @param slotFree whether a slot is expected to be free
-	 * @param warm whether the server served the object for this gateway within the period
-	 * for which objects are assumed to stay warm
-	 * @param expectedWarmMillis the expected response time if the object is warm on the
-	 * server
-	 * @param usualMillis the response time that is usual for a server that is not slow,
-	 * with the same queue
-	 * @param cautiousMillis the response time if the object is warm only where this
-	 * gateway knows it, and the server is as slow as recently
-	 * @param reason why the server's region was chosen
-	 */
-	public record Choice(ServerState server, double expectedMillis, boolean slotFree, boolean warm,
-			double expectedWarmMillis, double usualMillis, double cautiousMillis, Reason reason) {
-
-		/**
-		 * Returns the expected response time that decides about the admission of the
-		 * request. Where servers are congested, objects are assumed to be warm, unless
-		 * the request may be served in certain regions only: such requests cannot be
-		 * relieved by other regions, and if they were admitted in the hope of warm
-		 * objects, all would time out before any object is warm.
-		 * @param congested whether the servers of the region are congested
-		 * @param bound whether only certain regions may serve the request
-		 * @return the time in milliseconds
-		 */
-		public double admissionMillis(boolean congested, boolean bound) {
-			if (!congested) {
-				return this.expectedMillis;
-			}
-			return bound ? this.cautiousMillis : this.expectedWarmMillis;
-		}
-
-		/**
-		 * Records the response to the request.
-		 * @param millis the response time
-		 * @param now the current time in nanoseconds
-		 */
-		public void recordResponseTime(double millis, long now) {
-			this.server.slowness().recordResponse(millis, this.usualMillis, now);
-		}
-
-		/**
-		 * Records that the request had no response in time.
-		 * @param sentAt the time at which the request was sent, in nanoseconds
-		 * @param now the current time in nanoseconds
-		 */
-		public void recordTimeout(long sentAt, long now) {
-			this.server.recordTimeout(sentAt, now);
-			this.server.slowness()
-				.recordTimeout((now - sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1), this.usualMillis, now);
-		}
-
-		/**
-		 * Returns this choice with another reason.
-		 * @param other why the server's region was chosen
-		 * @return the choice with that reason
-		 */
-		public Choice withReason(Reason other) {
-			return new Choice(this.server, this.expectedMillis, this.slotFree, this.warm, this.expectedWarmMillis,
-					this.usualMillis, this.cautiousMillis, other);
-		}
-
-	}
-
-	/**
-	 * Why a region was chosen.
-	 */
-	public enum Reason {
-
-		/**
-		 * The object is assigned to the gateway's region.
-		 */
-		OWN,
-
-		/**
-		 * The object is assigned to another region.
-		 */
-		ASSIGNED,
-
-		/**
-		 * The request may be served in certain regions only.
-		 */
-		BOUND,
-
-		/**
-		 * The region that the object is assigned to is overloaded.
-		 */
-		OVERFLOW,
-
-		/**
-		 * No server of the region that the object is assigned to may receive the request.
-		 */
-		NO_CANDIDATE
-
-	}
-
 }
--- a/masticlane/src/main/java/io/masticlane/placement/RegionFlow.java
+++ b/masticlane/src/main/java/io/masticlane/placement/RegionFlow.java
@@ -29,7 +29,7 @@
 	 * Counts a request that is sent to a server.
 	 * @param choice the chosen server
 	 */
-	public void recordSent(Placement.Choice choice) {
+	public void recordSent(PlacementChoice choice) {
 		this.current.regions.merge(choice.server().region(), 1, Integer::sum);
 		this.current.reasons.merge(choice.reason(), 1, Integer::sum);
 	}
@@ -94,7 +94,7 @@
 
 		private final Map<String, Integer> regions = new TreeMap<>();
 
-		private final Map<Placement.Reason, Integer> reasons = new TreeMap<>();
+		private final Map<PlacementReason, Integer> reasons = new TreeMap<>();
 
 		private final Map<String, Integer> refused = new TreeMap<>();
 
--- a/masticlane/src/test/java/io/masticlane/benchmark/PlacementBenchmark.java
+++ b/masticlane/src/test/java/io/masticlane/benchmark/PlacementBenchmark.java
@@ -10,6 +10,7 @@
 
 import com.sun.management.ThreadMXBean;
 import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementRequest;
 import io.masticlane.placement.Rendezvous;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.PathRoute;
@@ -73,7 +74,7 @@
 			this.now += INTERVAL_NANOS;
 			long object = Rendezvous.hash("object-" + request % OBJECTS);
 			ServerState server = this.placement
-				.choose(new Placement.Request(this.route, "s", object, request, Set.of(), Set.of(), 600, 8.1, 2),
+				.choose(new PlacementRequest(this.route, "s", object, request, Set.of(), Set.of(), 600, 8.1, 2),
 						this.now)
 				.orElseThrow()
 				.server();
--- a/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
+++ b/masticlane/src/test/java/io/masticlane/placement/LoadSimulation.java
@@ -414,10 +414,9 @@
 			.get(this.gatewayChoice.applyAsInt(now, this.random.nextInt(regionGateways.size())));
 		PathRoute route = request.kind().route();
 		String service = this.services.getOrDefault(request.kind().name(), SERVICE);
-		Optional<Placement.Choice> choice = placement.choose(
-				new Placement.Request(route, service, request.object(), this.random.nextLong(),
-						request.allowedRegions(), Set.of(), route.objectiveMillis(), 8, regionGateways.size()),
-				nanos(now));
+		Optional<PlacementChoice> choice = placement
+			.choose(new PlacementRequest(route, service, request.object(), this.random.nextLong(),
+					request.allowedRegions(), Set.of(), route.objectiveMillis(), 8, regionGateways.size()), nanos(now));
 		boolean congested = choice.isPresent() && placement.isCongested(service, choice.get().server().region());
 		double latest = this.admission.latestResponseMillis(route.objectiveMillis(), route.timeoutMillis(),
 				route.priority(), congested);
@@ -488,7 +487,7 @@
 			Set<String> allowedRegions) {
 	}
 
-	private record ServerRequest(CallerRequest callerRequest, Placement placement, Placement.Choice choice,
+	private record ServerRequest(CallerRequest callerRequest, Placement placement, PlacementChoice choice,
 			double sentAt, double latencyMillis) {
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/PlacementTests.java
@@ -214,9 +214,9 @@
 	public void requestsThatAreBoundToARegionAreToldFromThoseAssignedToIt() {
 		Placement placement = placement("west", 2, 2);
 		assertEquals(placement.choose(request(1, Set.of("north"), Set.of()), LATER).orElseThrow().reason(),
-				Placement.Reason.BOUND);
+				PlacementReason.BOUND);
 		assertEquals(placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow().reason(),
-				Placement.Reason.OWN);
+				PlacementReason.OWN);
 	}
 
 	@Test
@@ -231,7 +231,7 @@
 		north.forEach((server) -> IntStream.range(0, 60).forEach((request) -> server.recordRequestSent(recoveredAt)));
 		long left = IntStream.range(0, 1_000)
 			.mapToObj((object) -> placement.choose(request(object, Set.of(), Set.of()), recoveredAt).orElseThrow())
-			.filter((choice) -> choice.reason() == Placement.Reason.OVERFLOW)
+			.filter((choice) -> choice.reason() == PlacementReason.OVERFLOW)
 			.count();
 		assertTrue(left > 10, "overflowed: " + left);
 	}
@@ -241,7 +241,7 @@
 		Placement placement = placement("west", 3, 0);
 		ServerState first = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow().server();
 		IntStream.range(0, 60).forEach((request) -> first.recordRequestSent(LATER));
-		Placement.Choice next = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow();
+		PlacementChoice next = placement.choose(request(5, Set.of(), Set.of()), LATER).orElseThrow();
 		assertFalse(next.server().entry().id().equals(first.entry().id()));
 	}
 
@@ -256,7 +256,7 @@
 	@Test
 	public void aServerOfAnotherRegionIsNotSlowBecauseOfTheWayThere() {
 		Placement placement = placement("north", 1, 0);
-		Placement.Choice choice = placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow();
+		PlacementChoice choice = placement.choose(request(1, Set.of(), Set.of()), LATER).orElseThrow();
 		IntStream.range(0, 20).forEach((each) -> {
 			placement.serviceTimes(this.route).recordSample(30, true);
 			placement.serviceTimes(this.route).recordSample(30, false);
@@ -297,7 +297,7 @@
 	private int sendRequests(Placement placement, int count, long now) {
 		int sent = 0;
 		for (int object = 0; object < count; object++) {
-			Optional<Placement.Choice> choice = placement.choose(request(object, Set.of(), Set.of()), now);
+			Optional<PlacementChoice> choice = placement.choose(request(object, Set.of(), Set.of()), now);
 			if (choice.isPresent()) {
 				choice.get().server().recordRequestSent(now);
 				sent++;
@@ -314,12 +314,12 @@
 		return placement.choose(request(object, service, Set.of(), Set.of()), LATER).orElseThrow().server().region();
 	}
 
-	private Placement.Request request(int object, Set<String> allowedRegions, Set<String> excluded) {
+	private PlacementRequest request(int object, Set<String> allowedRegions, Set<String> excluded) {
 		return request(object, "s", allowedRegions, excluded);
 	}
 
-	private Placement.Request request(int object, String service, Set<String> allowedRegions, Set<String> excluded) {
-		return new Placement.Request(this.route, service, Rendezvous.hash("object-" + object), 0, allowedRegions,
+	private PlacementRequest request(int object, String service, Set<String> allowedRegions, Set<String> excluded) {
+		return new PlacementRequest(this.route, service, Rendezvous.hash("object-" + object), 0, allowedRegions,
 				excluded, 600, 8.1, 2);
 	}
 
--- a/masticlane/src/test/java/io/masticlane/placement/RegionFlowTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/RegionFlowTests.java
@@ -25,11 +25,11 @@
 
 	@Test
 	public void requestsThatLeftTheirRegionAreReportedWithTheReason() {
-		send("west", Placement.Reason.OWN, 60);
-		send("east", Placement.Reason.ASSIGNED, 40);
+		send("west", PlacementReason.OWN, 60);
+		send("east", PlacementReason.ASSIGNED, 40);
 		this.flow.closeWindow(2 * SECOND_NANOS);
-		send("west", Placement.Reason.OWN, 30);
-		send("east", Placement.Reason.NO_CANDIDATE, 70);
+		send("west", PlacementReason.OWN, 30);
+		send("east", PlacementReason.NO_CANDIDATE, 70);
 		this.flow.recordRefused("west");
 		RegionFlow.Change change = this.flow.closeWindow(4 * SECOND_NANOS).orElseThrow();
 		assertEquals(change.movedFraction(), 0.3, 0.001);
@@ -46,17 +46,17 @@
 
 	@Test
 	public void windowsWithFewRequestsAreNotCompared() {
-		send("west", Placement.Reason.OWN, 3);
+		send("west", PlacementReason.OWN, 3);
 		this.flow.closeWindow(2 * SECOND_NANOS);
-		send("east", Placement.Reason.OWN, 3);
+		send("east", PlacementReason.OWN, 3);
 		assertTrue(this.flow.closeWindow(4 * SECOND_NANOS).isEmpty());
 	}
 
-	private void send(String region, Placement.Reason reason, int requests) {
+	private void send(String region, PlacementReason reason, int requests) {
 		ServerState server = new ServerState(new RegisteredServer(region, "s",
 				InetSocketAddress.createUnresolved("10.0.0.1", 80), region, 9, false, 0, 1, 1), region, 0);
 		IntStream.range(0, requests)
-			.forEach((each) -> this.flow.recordSent(new Placement.Choice(server, 1, true, true, 1, 1, 1, reason)));
+			.forEach((each) -> this.flow.recordSent(new PlacementChoice(server, 1, true, true, 1, 1, 1, reason)));
 	}
 
 }
--- a/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
+++ b/masticlane/src/test/java/io/masticlane/placement/ServiceServersTests.java
@@ -71,7 +71,7 @@
 		for (int round = 0; round < ROUNDS; round++) {
 			long start = processorNanos();
 			for (int object = 0; object < CHOICES; object++) {
-				Placement.Request request = new Placement.Request(route, "desk",
+				PlacementRequest request = new PlacementRequest(route, "desk",
 						Rendezvous.hash("object-" + round + "-" + object), object, Set.of(), Set.of(), 1_000, 0, 4);
 				assertTrue(placement.choose(request, NOW + object).isPresent());
 			}
