Choose servers by the current speed of their machines as well

Cause: machines that are shared take 2.5 times as long for a sixth of the time, 0.6 s at a time. Servers report it as the fourth figure of their load, which was not read; what is learned from response times comes too late, and counts a slow phase as a slow server for seconds.

Change: WireDialect decodes the header once into a ServerLoad, in which each figure may be missing. MachineSpeed keeps the last figure of a server, relative to what the server usually reports, with factors from 1 to 2.5 that age to 1 within 0.6 s. ExpectedTimes adds the time that a slow phase costs; no server is left out. Slowness and ServiceTimes learn response times at the usual speed. Health checks that are made anyway record the figure too. Two metrics show the figures and how often one was recent.

--- a/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Dialect.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.masticlane.placement.ServerLoad;
 import io.masticlane.plan.TrafficPlan;
 import io.masticlane.registry.RegisteredServer;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -134,13 +135,12 @@
 	 * @param signed whether the response carries the signature of the server
 	 * @param notRun whether the server reports that it did not run the request
 	 * @param encoded whether the body was encoded after the server created it
-	 * @param load the number of requests that the server is running and queueing, or -1
-	 * if unknown
+	 * @param load the load of the server and the speed of its machine
 	 * @param leaving whether the server announces that it is leaving
 	 * @param pauseMillis how long the server wants no further requests from this gateway,
 	 * in milliseconds, or zero
 	 */
-	record ServerResponse(Optional<String> id, boolean signed, boolean notRun, boolean encoded, int load,
+	record ServerResponse(Optional<String> id, boolean signed, boolean notRun, boolean encoded, ServerLoad load,
 			boolean leaving, long pauseMillis) {
 	}
 
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -4,7 +4,10 @@
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.operator.MetricsText;
+import io.masticlane.placement.MachineSpeed;
 import io.masticlane.placement.PlacementChoice;
+import io.masticlane.placement.ServerLoad;
+import io.masticlane.placement.ServerState;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -43,6 +46,20 @@
 		.labelNames("service", "region", "reason")
 		.register(this.registry);
 
+	private final Histogram machineSlowness = Histogram.builder()
+		.name("masticlane_gateway_machine_slowness")
+		.help("How long work takes on the machines of backend servers as they report it; 1 is usual.")
+		.classicOnly()
+		.classicUpperBounds(0.5, 0.8, 1.2, 1.6, 2, 3, 4, 10)
+		.labelNames("service")
+		.register(this.registry);
+
+	private final Counter machineSpeedChoices = Counter.builder()
+		.name("masticlane_gateway_machine_speed_choices_total")
+		.help("Attempts at backend servers that report the speed of their machine, by what was known of it.")
+		.labelNames("service", "known")
+		.register(this.registry);
+
 	private final Gauge localFraction = Gauge.builder()
 		.name("masticlane_gateway_own_region_share")
 		.help("The part of a service's objects that the region of the gateway serves itself.")
@@ -99,6 +116,17 @@
 
 	void regionChosen(String service, PlacementChoice choice) {
 		this.regionChoices.labelValues(service, choice.server().region(), choice.reason().name()).inc();
+		MachineSpeed speed = choice.server().machineSpeed();
+		if (speed.isReported()) {
+			this.machineSpeedChoices.labelValues(service, speed.isRecent(System.nanoTime()) ? "recent" : "outdated")
+				.inc();
+		}
+	}
+
+	void loadReported(ServerState server, ServerLoad load) {
+		load.slowness()
+			.ifPresent((figure) -> this.machineSlowness.labelValues(server.entry().service())
+				.observe(figure / ServerLoad.USUAL_SLOWNESS));
 	}
 
 	void localFractions(Map<String, Double> fractions) {
--- a/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/HealthChecks.java
@@ -125,8 +125,7 @@
 			HealthChecks.this.pending.remove(this.server);
 			Optional<Dialect.ServerHealth> health = dialect.health(response)
 				.filter((each) -> each.serverId().equals(this.server.entry().id()));
-			health.ifPresent((each) -> HealthChecks.this.gateway.announcements()
-				.record(this.server, parsed, "-", System.nanoTime()));
+			health.ifPresent((each) -> recordState(parsed, System.nanoTime()));
 			OptionalLong coldMillis = health.map(Dialect.ServerHealth::coldMillis).orElseGet(OptionalLong::empty);
 			coldMillis.ifPresent(this::recordCold);
 			HealthChecks.this.gateway.metrics()
@@ -134,6 +133,12 @@
 			return Disposition.COMPLETE;
 		}
 
+		private void recordState(Dialect.ServerResponse parsed, long now) {
+			HealthChecks.this.gateway.announcements().record(this.server, parsed, "-", now);
+			parsed.load().slowness().ifPresent((figure) -> this.server.machineSpeed().record(figure, now));
+			HealthChecks.this.gateway.metrics().loadReported(this.server, parsed.load());
+		}
+
 		private void recordCold(long millis) {
 			if (millis == 0) {
 				this.server.recordWarm(this.startedAt);
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestAttempts.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestAttempts.java
@@ -229,9 +229,8 @@
 		long now = System.nanoTime();
 		boolean atCapacity = server.load(now) >= server.entry().slots();
 		end();
-		if (parsed.load() >= 0) {
-			server.recordReportedLoad(parsed.load(), now);
-		}
+		server.recordReport(parsed.load(), now);
+		this.gateway.metrics().loadReported(server, parsed.load());
 		this.gateway.announcements().record(server, parsed, this.request.headers().id(), now);
 		if (parsed.notRun()) {
 			boolean misdirected = response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
@@ -261,7 +260,8 @@
 		server.recordResponse(this.request.placement().object(),
 				success || response.status().code() < SERVER_ERROR_STATUS, this.sentAt, now);
 		if (success) {
-			double millis = (now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+			double millis = server.machineSpeed()
+				.atUsualSpeed((now - this.sentAt) / (double) TimeUnit.MILLISECONDS.toNanos(1), parsed.load());
 			this.choice.recordResponseTime(millis, now);
 			if (this.choice.slotFree()) {
 				this.gateway.placement().serviceTimes(this.request.route()).recordSample(millis, this.choice.warm());
--- a/masticlane/src/main/java/io/masticlane/placement/ExpectedTimes.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ExpectedTimes.java
@@ -8,7 +8,7 @@
 
 /**
  * Estimates how long a request would take at a server, from its queue, the service times
- * of the route and how slow the server is.
+ * of the route, how slow the server is and how slow its machine is at present.
  */
 final class ExpectedTimes {
 
@@ -73,10 +73,12 @@
 		double rankPenalty = sticky ? rank * RANK_PENALTY * (times.expectedMillis(false) - times.expectedMillis(true))
 				: 0;
 		double slowness = server.slowness().factor(now);
+		double steadyMillis = (queueing + times.expectedMillis(warm)) * slowness;
 		double roundTrip = server.region().equals(this.region) ? 0 : INTER_REGION_ROUND_TRIP_MILLIS;
 		double warmMillis = queueing + times.expectedMillis(true);
 		double usualMillis = queueing + times.expectedMillis(served) + roundTrip;
-		return new PlacementChoice(server, rankPenalty + (queueing + times.expectedMillis(warm)) * slowness + roundTrip,
+		return new PlacementChoice(server,
+				rankPenalty + steadyMillis + server.machineSpeed().additionalMillis(steadyMillis, now) + roundTrip,
 				server.load(now) < server.entry().slots(), served, warmMillis, usualMillis,
 				Math.max(usualMillis, warmMillis * slowness), PlacementReason.OWN);
 	}
--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -55,6 +55,8 @@
 
 	private final Slowness slowness = new Slowness();
 
+	private final MachineSpeed machineSpeed = new MachineSpeed();
+
 	private RegisteredServer entry;
 
 	private final String region;
@@ -106,6 +108,7 @@
 		if (restarted) {
 			this.servedAt.clear();
 			this.reportedLoad.clear();
+			this.machineSpeed.clear();
 			this.failures.restart();
 			this.leaving = false;
 			this.pause.clear();
@@ -193,6 +196,16 @@
 		this.inFlight--;
 	}
 
+	/**
+	 * Records the figures that the response to a request reports.
+	 * @param load the figures, of which any may be missing
+	 * @param now the current time in nanoseconds
+	 */
+	public void recordReport(ServerLoad load, long now) {
+		load.requests().ifPresent((requests) -> recordReportedLoad(requests, now));
+		load.slowness().ifPresent((figure) -> this.machineSpeed.record(figure, now));
+	}
+
 	/**
 	 * Records the load that a response reports.
 	 * @param requests the requests that the server is processing or has queued
@@ -251,6 +264,14 @@
 		return this.slowness;
 	}
 
+	/**
+	 * Returns how long work takes at present on the server's machine.
+	 * @return the speed of the machine
+	 */
+	public MachineSpeed machineSpeed() {
+		return this.machineSpeed;
+	}
+
 	/**
 	 * Records that the server was unreachable. A server that has just responded refuses
 	 * connections because of its load and is not considered lost.
