--- a/masticlane/src/main/java/io/masticlane/gateway/OverloadGate.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/OverloadGate.java
@@ -11,6 +11,7 @@
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
 import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
 import io.masticlane.plan.OrganisationPlan;
 
 /**
@@ -58,7 +59,7 @@
 	 * @param now the current time in nanoseconds
 	 * @return the refusal, or empty if the request is admitted
 	 */
-	Optional<Refusal> refusal(AdmittedRequest request, RequestClock clock, Placement.Choice chosen, long now) {
+	Optional<Refusal> refusal(AdmittedRequest request, RequestClock clock, PlacementChoice chosen, long now) {
 		if (!this.enabled) {
 			return Optional.empty();
 		}
--- a/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServiceServers.java
@@ -82,7 +82,8 @@
 		Room room = Room.NONE;
 		for (ServerState each : this.regions.getOrDefault(region, List.of())) {
 			if (counted.test(each)) {
-				room = room.plus(new Room.Server(each.entry().slots(), each.load(now), each.hasRecentReport(now), 1));
+				room = room.plus(new Room.Server(each.entry().slots(), each.load(now), each.hasRecentReport(now),
+						1 / each.machineSpeed().factor(now)));
 			}
 		}
 		return room;
--- a/masticlane/src/test/java/io/masticlane/admission/OverloadModel.java
+++ b/masticlane/src/test/java/io/masticlane/admission/OverloadModel.java
@@ -19,6 +19,8 @@
 import java.util.stream.Stream;
 
 import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementChoice;
+import io.masticlane.placement.PlacementRequest;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.PathRoute;
 import io.masticlane.plan.RouteKind;
@@ -129,8 +131,8 @@
 	private void send(Call call, double now) {
 		Gateway gateway = this.gateways.get(this.random.nextInt(this.gateways.size()));
 		PathRoute route = call.load().pathRoute();
-		Placement.Choice choice = gateway.placement()
-			.choose(new Placement.Request(route, "service", call.object(), this.random.nextLong(), Set.of(), Set.of(),
+		PlacementChoice choice = gateway.placement()
+			.choose(new PlacementRequest(route, "service", call.object(), this.random.nextLong(), Set.of(), Set.of(),
 					route.objectiveMillis(), 8, 1), nanos(now))
 			.orElseThrow();
 		double objective = route.objectiveMillis() - (now - call.sentAt());
@@ -158,7 +160,7 @@
 		}
 	}
 
-	private void complete(Call call, Placement placement, Placement.Choice choice, double sentAt, double now) {
+	private void complete(Call call, Placement placement, PlacementChoice choice, double sentAt, double now) {
 		ServerState state = choice.server();
 		Server server = this.servers.get(state.entry().id());
 		count(call, (now - call.sentAt() <= call.load().objectiveMillis()) ? 0 : 1);
