Keep the demand that arrived before the first update

Cause: the first update of a control decayed its demand by the whole time since the origin of the clock, so that the first bulk requests after the start counted as the most urgent ones. OverloadGateTests found it: 3 of 10 bulk requests refused at a full server where 5 or more were expected.

Change: the first update only sets the time.

--- a/masticlane/src/main/java/io/masticlane/admission/Demand.java
+++ b/masticlane/src/main/java/io/masticlane/admission/Demand.java
@@ -32,6 +32,8 @@
 
 	private long decayedAt;
 
+	private boolean started;
+
 	/**
 	 * Counts an arrival.
 	 * @param arrival the arrival
@@ -62,7 +64,8 @@
 	 * @param now the current time in nanoseconds
 	 */
 	void decay(long now) {
-		double seconds = (now - this.decayedAt) / (double) TimeUnit.SECONDS.toNanos(1);
+		double seconds = this.started ? (now - this.decayedAt) / (double) TimeUnit.SECONDS.toNanos(1) : 0;
+		this.started = true;
 		this.decayedAt = now;
 		double factor = Math.exp(-Math.max(0, seconds) / DECAY_SECONDS);
 		this.tallies.values().forEach((tally) -> tally.decay(factor));
