--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -182,15 +182,15 @@
 	RELAYS_CHANGED(6112, Severity.INFORMATION, "reports={} relay={} relays={}"),
 
 	/**
-	 * The entry hosts that look-ups name to callers of the own data centre changed, while
-	 * they are selected by capacity.
+	 * The servers of a service and region became overloaded or are no longer.
 	 */
-	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
+	OVERLOAD_CHANGED(6114, Severity.INFORMATION, "service={} region={} state={} admitted={} room={} demand={}"),
 
 	/**
-	 * The servers of a service and region became overloaded or are no longer.
+	 * The entry hosts that look-ups name to callers of the own data centre changed, while
+	 * they are selected by capacity.
 	 */
-	OVERLOAD_CHANGED(6114, Severity.INFORMATION, "service={} region={} state={} admitted={} room={} demand={}"),
+	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
 
 	/**
 	 * A request was refused and did not run.
