--- a/masticlane/src/test/java/io/masticlane/gateway/OverloadGateTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/OverloadGateTests.java
@@ -10,6 +10,7 @@
 import io.masticlane.admission.AdmissionPolicy;
 import io.masticlane.event.Event;
 import io.masticlane.placement.Placement;
+import io.masticlane.placement.PlacementRequest;
 import io.masticlane.placement.ServerState;
 import io.masticlane.plan.PathRoute;
 import io.masticlane.plan.RouteKind;
@@ -59,10 +60,11 @@
 	private List<Refusal> refusals(int priority) {
 		PathRoute route = new PathRoute("route" + priority, "/", RouteKind.DOWNLOAD, 0, 500, priority, List.of(), 2,
 				true, true, Set.of());
-		Placement.Request placed = new Placement.Request(route, "service", 1, 1, Set.of(), Set.of(), 500, 8, 1);
+		PlacementRequest placed = new PlacementRequest(route, "service", 1, 1, Set.of(), Set.of(), 500, 8, 1);
 		RequestClock clock = new RequestClock(System.nanoTime(), Optional::empty);
 		clock.limit(3_000, 0);
-		AdmittedRequest request = new AdmittedRequest(null, "/", null, route, Optional.empty(), placed, this.now);
+		AdmittedRequest request = new AdmittedRequest(null, "/", null, route, Optional.empty(), placed,
+				new DownloadBody(Optional.empty(), ""), this.now);
 		return IntStream.range(0, 10)
 			.mapToObj((each) -> this.gate.refusal(request, clock, this.placement.choose(placed, this.now).orElseThrow(),
 					this.now))
