--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -11,12 +10,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
-import io.masticlane.caller.BodyAggregator;
-import io.masticlane.caller.CallerCodec;
-import io.masticlane.caller.SegmentedWrites;
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
@@ -28,8 +23,6 @@
 import io.masticlane.store.SharedState;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -40,13 +33,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.util.AttributeKey;
 
 /**
  * The gateway daemon of an entry host. Connections and decisions share one event loop,
@@ -55,8 +43,6 @@
  */
 public final class GatewayDaemon implements DirectoryHandler.Endpoints {
 
-	private static final AttributeKey<ReadTimeoutTracker> TIMEOUTS = AttributeKey.valueOf("clock");
-
 	private static final int BACKLOG = 1024;
 
 	/**
@@ -74,19 +60,6 @@
 
 	private static final int MAXIMUM_LOOK_UP_BODY_BYTES = 4096;
 
-	private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
-
-	/**
-	 * The largest head that is read, whatever a plan allows. The decoder of a connection
-	 * keeps its limit, and the limit of the plan may change.
-	 */
-	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
-
-	/**
-	 * The bytes of a header beside its name and value.
-	 */
-	private static final int HEADER_OVERHEAD_BYTES = ": \r\n".length();
-
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.loops.next();
@@ -272,7 +245,7 @@
 		long now = System.nanoTime();
 		CallerLimits limits = this.gateway.plan().limits();
 		this.callers.forEach((channel) -> {
-			if (channel.attr(TIMEOUTS).get().isTimedOut(limits, now)) {
+			if (CallerPipeline.timeouts(channel).isTimedOut(limits, now)) {
 				channel.pipeline().get(CallerHandler.class).closeTimedOut();
 			}
 		});
@@ -366,27 +339,7 @@
 	}
 
 	private Channel listenForCallers(InetSocketAddress address) {
-		return listen(address, new ChannelInitializer<>() {
-			@Override
-			protected void initChannel(SocketChannel channel) {
-				ReadTimeoutTracker timeouts = new ReadTimeoutTracker();
-				channel.attr(TIMEOUTS).set(timeouts);
-				channel.pipeline()
-					.addLast(timeouts,
-							new CallerCodec(new HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-								.setMaxHeaderSize(MAXIMUM_HEAD_BYTES)),
-							new SegmentedWrites(() -> GatewayDaemon.this.gateway.plan().hasDownloads()),
-							new HeadListener(timeouts,
-									() -> GatewayDaemon.this.gateway.plan().limits().maximumHeadBytes()),
-							new BodyAggregator(() -> GatewayDaemon.this.gateway.plan().limits().maximumBodyBytes(),
-									GatewayDaemon.this.gateway.memory()),
-							new CallerHandler(ProxiedRequest.processor(GatewayDaemon.this.gateway),
-									GatewayDaemon.this.gateway::isLeaving, timeouts,
-									new RequestSequence(GatewayDaemon.this.gateway.memory()),
-									GatewayDaemon.this.gateway.pipelineEvents()));
-				GatewayDaemon.this.callers.add(channel);
-			}
-		});
+		return listen(address, new CallerPipeline(this.gateway, this.callers::add));
 	}
 
 	private void listenForDirectory(InetSocketAddress address) {
@@ -412,42 +365,4 @@
 			.channel();
 	}
 
-	/**
-	 * Notifies the timeout tracker of a connection when a request's head was decoded, and
-	 * marks a head that is larger than the plan in force allows.
-	 */
-	private static final class HeadListener extends ChannelInboundHandlerAdapter {
-
-		private final ReadTimeoutTracker timeouts;
-
-		private final IntSupplier maximumBytes;
-
-		private HeadListener(ReadTimeoutTracker timeouts, IntSupplier maximumBytes) {
-			this.timeouts = timeouts;
-			this.maximumBytes = maximumBytes;
-		}
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-			if (message instanceof HttpRequest request) {
-				this.timeouts.headReceived();
-				if (request.decoderResult().isSuccess() && headBytes(request) > this.maximumBytes.getAsInt()) {
-					request.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException()));
-				}
-			}
-			super.channelRead(context, message);
-		}
-
-		private static int headBytes(HttpRequest request) {
-			int bytes = 0;
-			Iterator<Map.Entry<CharSequence, CharSequence>> headers = request.headers().iteratorCharSequence();
-			while (headers.hasNext()) {
-				Map.Entry<CharSequence, CharSequence> header = headers.next();
-				bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
-			}
-			return bytes;
-		}
-
-	}
-
 }
