--- a/masticlane/src/main/java/io/masticlane/placement/ServerState.java
+++ b/masticlane/src/main/java/io/masticlane/placement/ServerState.java
@@ -1,7 +1,5 @@
 package io.masticlane.placement;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.registry.RegisteredServer;
@@ -12,11 +10,6 @@
  */
 public final class ServerState {
 
-	/**
-	 * The number of objects that are recorded for each server; servers keep fewer warm.
-	 */
-	private static final int MAXIMUM_RECORDED_OBJECTS = 64;
-
 	/**
 	 * The period after a server was unreachable in which an entry with the same start
 	 * time may have been written before the server became unreachable. It covers a read
@@ -38,12 +31,7 @@
 
 	private final long hash;
 
-	private final Map<Long, Long> servedAt = new LinkedHashMap<>(16, 0.75f, true) {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MAXIMUM_RECORDED_OBJECTS;
-		}
-	};
+	private final ServedObjects servedObjects = new ServedObjects();
 
 	private final Coldness coldness;
 
@@ -106,7 +94,7 @@
 	public void entry(RegisteredServer updated, long readDelayNanos, long now) {
 		boolean restarted = this.entry != null && this.entry.startedAt() != updated.startedAt();
 		if (restarted) {
-			this.servedAt.clear();
+			this.servedObjects.clear();
 			this.reportedLoad.clear();
 			this.machineSpeed.clear();
 			this.failures.restart();
@@ -231,7 +219,7 @@
 		this.failures.recordResponse(success, now);
 		if (success) {
 			this.pause.recordServed(sentAt, this.entry.slots());
-			this.servedAt.put(object, now);
+			this.servedObjects.record(object, now);
 		}
 	}
 
@@ -361,8 +349,7 @@
 	 * @return whether the server served the object within the period
 	 */
 	public boolean hasServed(long object, long withinNanos, long now) {
-		Long lastServedAt = this.servedAt.get(object);
-		return lastServedAt != null && now - lastServedAt < withinNanos;
+		return this.servedObjects.contains(object, withinNanos, now);
 	}
 
 	/**
