Leave services whose routes have one priority to the checks by expected time

Cause: at the brokers each service serves routes of one priority.

Change: the gate decides only while routes of different priorities compete for the servers of a service and region.

--- a/masticlane/src/main/java/io/masticlane/admission/Arrival.java
+++ b/masticlane/src/main/java/io/masticlane/admission/Arrival.java
@@ -7,14 +7,15 @@
  *
  * @param kind the kind of the request
  * @param organisation the organisation of its caller, or an empty string
+ * @param routePriority the priority of the route, whatever that of the organisation
  * @param workMillis the expected processing time at the chosen server in milliseconds
  * @param objectiveMillis the response time objective of the route in milliseconds
  * @param slotFree whether the chosen server has a free slot
  * @param serverUtilization the requests that the chosen server is processing or has
  * queued, for each of its slots
  */
-public record Arrival(Kind kind, String organisation, double workMillis, double objectiveMillis, boolean slotFree,
-		double serverUtilization) {
+public record Arrival(Kind kind, String organisation, int routePriority, double workMillis, double objectiveMillis,
+		boolean slotFree, double serverUtilization) {
 
 	/**
 	 * The requests that cost callers the same if they are rejected.
--- a/masticlane/src/main/java/io/masticlane/admission/Demand.java
+++ b/masticlane/src/main/java/io/masticlane/admission/Demand.java
@@ -83,11 +83,11 @@
 	}
 
 	/**
-	 * Returns whether requests of more than one route arrived recently.
-	 * @return whether routes compete for the servers
+	 * Returns whether requests of routes with different priorities arrived recently.
+	 * @return whether less urgent routes compete with more urgent ones
 	 */
-	boolean hasSeveralRoutes() {
-		return this.tallies.keySet().stream().map(Arrival.Kind::route).distinct().limit(2).count() > 1;
+	boolean hasSeveralPriorities() {
+		return this.tallies.values().stream().mapToInt((tally) -> tally.routePriority).distinct().limit(2).count() > 1;
 	}
 
 	/**
@@ -147,6 +147,8 @@
 
 	private static final class Tally {
 
+		private int routePriority;
+
 		private double requests;
 
 		private double workMillis;
@@ -154,6 +156,7 @@
 		private double objectiveMillis;
 
 		private void add(Arrival arrival) {
+			this.routePriority = arrival.routePriority();
 			this.requests++;
 			this.workMillis += arrival.workMillis();
 			this.objectiveMillis = arrival.objectiveMillis();
--- a/masticlane/src/main/java/io/masticlane/admission/OverloadControl.java
+++ b/masticlane/src/main/java/io/masticlane/admission/OverloadControl.java
@@ -6,8 +6,8 @@
 
 /**
  * Decides which requests to the servers of a service in a region are rejected while more
- * work is demanded than the servers can take and requests of several routes compete for
- * it.
+ * work is demanded than the servers can take and routes of different priorities compete
+ * for it.
  */
 final class OverloadControl {
 
@@ -98,9 +98,9 @@
 	}
 
 	private boolean isAdmitted(Arrival arrival) {
-		if (!this.demand.hasSeveralRoutes()) {
-			// The check by expected time serves one kind of request better: of 1,164
-			// rejections on a day with one route a service, 757 were expected in time.
+		if (!this.demand.hasSeveralPriorities()) {
+			// A rejection makes room for nothing more urgent. On a day of such load, 757
+			// of 1,164 rejected requests were expected within their objective.
 			return true;
 		}
 		boolean full = !arrival.slotFree() && this.level.demandedUtilization() > BUSY_UTILIZATION;
--- a/masticlane/src/main/java/io/masticlane/gateway/OverloadGate.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/OverloadGate.java
@@ -68,8 +68,8 @@
 		Arrival.Kind kind = new Arrival.Kind(request.priority(), chosen.expectedMillis() > latestMillis,
 				request.route().name());
 		Arrival arrival = new Arrival(kind, request.organisation().map(OrganisationPlan::name).orElse(""),
-				this.placement.serviceTimes(request.route()).expectedMillis(chosen.warm()), objectiveMillis,
-				chosen.slotFree(), chosen.server().utilization(now));
+				request.route().priority(), this.placement.serviceTimes(request.route()).expectedMillis(chosen.warm()),
+				objectiveMillis, chosen.slotFree(), chosen.server().utilization(now));
 		String region = chosen.server().region();
 		OptionalDouble excessMillis = this.controls.rejection(new OverloadControls.Scope(request.service(), region),
 				arrival);
--- a/masticlane/src/test/java/io/masticlane/admission/OverloadModel.java
+++ b/masticlane/src/test/java/io/masticlane/admission/OverloadModel.java
@@ -139,8 +139,9 @@
 		double remaining = route.timeoutMillis() - (now - call.sentAt());
 		Arrival arrival = new Arrival(
 				new Arrival.Kind(route.priority(), choice.expectedMillis() > objective, route.name()),
-				call.organisation(), gateway.placement().serviceTimes(route).expectedMillis(choice.warm()),
-				route.objectiveMillis(), choice.slotFree(), choice.server().utilization(nanos(now)));
+				call.organisation(), route.priority(),
+				gateway.placement().serviceTimes(route).expectedMillis(choice.warm()), route.objectiveMillis(),
+				choice.slotFree(), choice.server().utilization(nanos(now)));
 		OptionalDouble excess = this.controlled
 				? gateway.controls().rejection(new OverloadControls.Scope("service", "east"), arrival)
 				: OptionalDouble.empty();
--- a/masticlane/src/test/java/io/masticlane/admission/OverloadTests.java
+++ b/masticlane/src/test/java/io/masticlane/admission/OverloadTests.java
@@ -120,7 +120,7 @@
 	}
 
 	private static Arrival arrival(Arrival.Kind kind, String organisation, double workMillis, boolean slotFree) {
-		return new Arrival(kind, organisation, workMillis, 548, slotFree, 1.5);
+		return new Arrival(kind, organisation, kind.priority(), workMillis, 548, slotFree, 1.5);
 	}
 
 	private static OverloadModel arena(long seed, boolean controlled, double factor) {
