Remove repeated work and derivable state found in the read-through

Found: every host evaluated its links and dialled its peers again with each report, also in a full mesh, where only a change of the members can change them. The log said that full-mesh-hosts takes effect at the next start, while a reload changed it at once. GatewayFleet had a second way to record a report that only tests used, RelayTopology kept the name that it is passed, ReturnTimes repeated two constants of AdmissionPolicy, RequestEvents repeated the clock of its request, and the overload control summed the demand of each request before the cheaper condition.

Change: links follow the members in a full mesh, as before the relays; full-mesh-hosts is read at the start; the rest uses the one piece that exists. Decisions, bounds and assertions are unchanged; two test classes build a ReceivedReport instead of calling the removed method.

--- a/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
+++ b/masticlane/src/main/java/io/masticlane/admission/AdmissionPolicy.java
@@ -28,7 +28,7 @@
 	 * The minimum delay before a refused request is retried, in milliseconds, without the
 	 * random spread.
 	 */
-	private static final double MINIMUM_RETRY_DELAY_MILLIS = 150;
+	static final double MINIMUM_RETRY_DELAY_MILLIS = 150;
 
 	/**
 	 * The maximum delay before a refused request is retried, in milliseconds, without the
@@ -39,7 +39,7 @@
 	/**
 	 * The fraction of their remaining time that callers wait at most before a retry.
 	 */
-	private static final double HONOURED_FRACTION = 1 / 3.0;
+	static final double HONOURED_FRACTION = 1 / 3.0;
 
 	private final DoubleSupplier random;
 
--- a/masticlane/src/main/java/io/masticlane/admission/OverloadControl.java
+++ b/masticlane/src/main/java/io/masticlane/admission/OverloadControl.java
@@ -105,14 +105,14 @@
 	}
 
 	private boolean isAdmitted(Arrival arrival) {
-		double urgentFraction = this.demand.mostUrgentFraction();
-		if (urgentFraction < MINIMUM_URGENT_FRACTION || urgentFraction >= 1) {
-			return true;
-		}
 		boolean full = !arrival.slotFree() && this.level.demandedUtilization() > BUSY_UTILIZATION;
 		if (this.level.value() >= 1 && !full) {
 			return true;
 		}
+		double urgentFraction = this.demand.mostUrgentFraction();
+		if (urgentFraction < MINIMUM_URGENT_FRACTION || urgentFraction >= 1) {
+			return true;
+		}
 		List<Demand.KindDemand> kinds = this.demand.inOrder();
 		double floor = KindFractions.FLOOR * this.demand.admittedFraction();
 		double admitted = full ? Math.min(this.level.value(), KindFractions.levelForMostUrgent(floor, kinds))
--- a/masticlane/src/main/java/io/masticlane/admission/ReturnTimes.java
+++ b/masticlane/src/main/java/io/masticlane/admission/ReturnTimes.java
@@ -20,13 +20,6 @@
 	 */
 	private static final double MINIMUM_INTERVAL_SECONDS = 0.1;
 
-	private static final double MINIMUM_DELAY_MILLIS = 150;
-
-	/**
-	 * The fraction of a caller's remaining time that it waits at most.
-	 */
-	private static final double MAXIMUM_DELAY_FRACTION = 1.0 / 3;
-
 	/**
 	 * The part of the maximum delay over which requests return for which no memory is
 	 * expected within it. They come while others leave, or try another gateway.
@@ -91,13 +84,14 @@
 	 * @return the time in milliseconds
 	 */
 	public double retryAfterMillis(long bytes, long remainingMillis, long now) {
-		double maximumMillis = Math.max(MINIMUM_DELAY_MILLIS, remainingMillis * MAXIMUM_DELAY_FRACTION);
+		double maximumMillis = Math.max(AdmissionPolicy.MINIMUM_RETRY_DELAY_MILLIS,
+				remainingMillis * AdmissionPolicy.HONOURED_FRACTION);
 		double queuedMillis = Math.max(0, this.latestReturnAt - now) / (double) TimeUnit.MILLISECONDS.toNanos(1);
 		double expectedMillis = queuedMillis + bytes / Math.max(1, this.bytesPerSecond) * TimeUnit.SECONDS.toMillis(1);
 		this.latestReturnAt = now + (long) (Math.min(maximumMillis, expectedMillis) * TimeUnit.MILLISECONDS.toNanos(1));
 		double earliestMillis = Math.min(expectedMillis, maximumMillis * (1 - LATE_SPREAD));
 		double latestMillis = Math.min(expectedMillis * (1 + SPREAD), maximumMillis);
-		return Math.max(MINIMUM_DELAY_MILLIS,
+		return Math.max(AdmissionPolicy.MINIMUM_RETRY_DELAY_MILLIS,
 				earliestMillis + (latestMillis - earliestMillis) * this.random.getAsDouble());
 	}
 
--- a/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/GatewayFleet.java
@@ -110,16 +110,6 @@
 		return nanosSinceRenewal < RESERVATION_NANOS || 2 * (freshReportCount(now) + 1) > size();
 	}
 
-	/**
-	 * Records a report.
-	 * @param host the name of the sender's entry host
-	 * @param report the report
-	 * @param now the current time in nanoseconds
-	 */
-	public void reportReceived(String host, Message.GatewayReport report, long now) {
-		this.reports.put(host, new Report(report, now, true));
-	}
-
 	/**
 	 * Records a report that may have been relayed.
 	 * @param received the report
--- a/masticlane/src/main/java/io/masticlane/fleet/RelayTopology.java
+++ b/masticlane/src/main/java/io/masticlane/fleet/RelayTopology.java
@@ -48,18 +48,8 @@
 		.thenComparingDouble((gateway) -> -gateway.capacity().cores())
 		.thenComparing(Gateway::host);
 
-	private final String host;
-
 	private final Map<String, Long> unconnectedSince = new HashMap<>();
 
-	/**
-	 * Creates the topology of a host.
-	 * @param host the name of this host
-	 */
-	public RelayTopology(String host) {
-		this.host = host;
-	}
-
 	/**
 	 * Decides the links of this host.
 	 * @param self this host
@@ -73,19 +63,19 @@
 			long now) {
 		if (others.size() < fullMeshHosts) {
 			this.unconnectedSince.clear();
-			return new Links(false, false, others.stream().sorted(ORDER).toList(), Set.of(), Set.of(), Set.of());
+			return new Links(false, false, List.copyOf(others), Set.of(), Set.of(), Set.of());
 		}
 		Map<String, List<Gateway>> regions = new TreeMap<>();
 		others.forEach((each) -> regions.computeIfAbsent(each.region(), (name) -> new ArrayList<>()).add(each));
 		regions.computeIfAbsent(self.region(), (name) -> new ArrayList<>()).add(self);
 		Set<Gateway> dialled = new LinkedHashSet<>();
-		Set<String> relays = selectRelays(regions.get(self.region()), connected, dialled, now);
-		boolean relay = relays.remove(this.host);
+		Set<String> relays = selectRelays(self, regions.get(self.region()), connected, dialled, now);
+		boolean relay = relays.remove(self.host());
 		Set<String> remoteRelays = new LinkedHashSet<>();
 		if (relay) {
 			regions.forEach((region, members) -> {
 				if (!region.equals(self.region())) {
-					remoteRelays.addAll(selectRelays(members, connected, dialled, now));
+					remoteRelays.addAll(selectRelays(self, members, connected, dialled, now));
 				}
 			});
 		}
@@ -102,14 +92,15 @@
 	/**
 	 * Selects the first hosts of a region that are connected. A host that is not
 	 * connected in time is passed over, but still dialled, since it may return.
+	 * @param self this host
 	 * @param members the members of the region
 	 * @param connected whether a host is connected
 	 * @param dialled receives the hosts to connect to
 	 * @param now the current time in nanoseconds
 	 * @return the names of the hosts that are connected or this host itself
 	 */
-	private Set<String> selectRelays(List<Gateway> members, Predicate<String> connected, Set<Gateway> dialled,
-			long now) {
+	private Set<String> selectRelays(Gateway self, List<Gateway> members, Predicate<String> connected,
+			Set<Gateway> dialled, long now) {
 		Set<String> relays = new LinkedHashSet<>();
 		int expected = 0;
 		for (Gateway member : members.stream().sorted(ORDER).toList()) {
@@ -119,8 +110,8 @@
 			if (member.leaving()) {
 				continue;
 			}
-			if (member.host().equals(this.host)) {
-				relays.add(this.host);
+			if (member.host().equals(self.host())) {
+				relays.add(self.host());
 				expected++;
 				continue;
 			}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayContext.java
@@ -41,6 +41,8 @@
 
 	private final String region;
 
+	private final int fullMeshHosts;
+
 	private GatewaySettings settings;
 
 	private final EventLog events;
@@ -91,6 +93,7 @@
 		this.loop = loop;
 		this.dialect = dialect;
 		this.region = settings.region();
+		this.fullMeshHosts = settings.fullMeshHosts();
 		this.settings = settings;
 		this.events = events;
 		this.fleet = fleet;
@@ -133,7 +136,7 @@
 	}
 
 	int fullMeshHosts() {
-		return this.settings.fullMeshHosts();
+		return this.fullMeshHosts;
 	}
 
 	int gateways() {
--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -88,7 +88,7 @@
 		this.description = description;
 		Gateway described = description.get();
 		this.self = new Peer(described.host(), described.incarnation());
-		this.topology = new RelayTopology(described.host());
+		this.topology = new RelayTopology();
 		this.network = new PeerNetwork(loops, this.self, GatewayTimes.PEER_IDLE_TIMEOUT_MILLIS, this, gateway.events());
 		this.storeRelay = new StoreRelay(gateway.dialect()::key, gateway.dialect()::server, view::serverConfirmed);
 		store.forwardTo(this::forwardStoreChanges, () -> this.links.relay());
@@ -111,8 +111,7 @@
 				.record(Event.RELAYS_CHANGED, this.links.relayed() ? "relayed" : "direct", this.links.relay(),
 						this.links.relays());
 		}
-		this.network
-			.dial(this.links.dialled().stream().filter(this::isDialled).map(Gateway::peerAddress).distinct().toList());
+		this.network.dial(this.links.dialled().stream().filter(this::isDialled).map(Gateway::peerAddress).toList());
 	}
 
 	/**
@@ -142,7 +141,10 @@
 		else {
 			this.gateway.shares().suspend(now);
 		}
-		connect();
+		if (this.links.relayed()) {
+			// Which relays can be reached changes without a change of the members.
+			connect();
+		}
 		int fullReportInterval = this.links.relayed() ? RELAYED_FULL_REPORT_INTERVAL : FULL_REPORT_INTERVAL;
 		boolean full = this.reportsSent++ % fullReportInterval == 0;
 		Message.GatewayReport report = new Message.GatewayReport(this.gateway.plan().version(), this.store.position(),
--- a/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/ProxiedRequest.java
@@ -135,7 +135,7 @@
 	private void process() {
 		this.plan = this.gateway.plan();
 		this.events = new RequestEvents(this.gateway.events(), this.callerRequest.id(), this.plan.version(),
-				this.clock.arrivedAt());
+				this.clock);
 		if (this.plan.version() == TrafficPlan.NO_VERSION) {
 			refuse(Refusal.of("no_plan"));
 			return;
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestClock.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestClock.java
@@ -43,10 +43,6 @@
 				(routeMillis > 0) ? routeMillis : Long.MAX_VALUE);
 	}
 
-	long arrivedAt() {
-		return this.arrivedAt;
-	}
-
 	/**
 	 * Returns the time since the request arrived.
 	 * @return the time in milliseconds
--- a/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/RequestEvents.java
@@ -1,7 +1,5 @@
 package io.masticlane.gateway;
 
-import java.util.concurrent.TimeUnit;
-
 import io.masticlane.client.ConnectionUse;
 import io.masticlane.event.Event;
 import io.masticlane.event.EventLog;
@@ -20,15 +18,15 @@
 
 	private final long planVersion;
 
-	private final long arrivedAt;
+	private final RequestClock clock;
 
 	private String route = "-";
 
-	RequestEvents(EventLog log, String id, long planVersion, long arrivedAt) {
+	RequestEvents(EventLog log, String id, long planVersion, RequestClock clock) {
 		this.log = log;
 		this.id = id;
 		this.planVersion = planVersion;
-		this.arrivedAt = arrivedAt;
+		this.clock = clock;
 	}
 
 	void route(String name) {
@@ -37,13 +35,13 @@
 
 	void served(int status, int attempts, PlacementChoice choice, ConnectionUse use) {
 		this.log.record(Event.REQUEST_SERVED, this.id, status, this.route, choice.server().entry().id(), attempts,
-				ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), use.connection(), use.calls(),
-				use.repeated(), this.planVersion);
+				this.clock.ageMillis(), Math.round(choice.expectedMillis()), choice.warm(), use.connection(),
+				use.calls(), use.repeated(), this.planVersion);
 	}
 
 	void refused(Refusal refusal, int status, String organisation) {
-		this.log.record(Event.REQUEST_REFUSED, this.id, refusal.reason(), status, this.route, organisation, ageMillis(),
-				Math.round(refusal.expectedMillis()), Math.round(refusal.latestMillis()),
+		this.log.record(Event.REQUEST_REFUSED, this.id, refusal.reason(), status, this.route, organisation,
+				this.clock.ageMillis(), Math.round(refusal.expectedMillis()), Math.round(refusal.latestMillis()),
 				Math.round(refusal.retryAfterMillis()), this.planVersion);
 	}
 
@@ -54,24 +52,25 @@
 	}
 
 	void failed(String reason, int status, String server, int attempts, ConnectionUse use) {
-		this.log.record(Event.REQUEST_FAILED, this.id, reason, status, this.route, server, attempts, ageMillis(),
-				use.connection(), use.calls(), use.repeated(), this.planVersion);
+		this.log.record(Event.REQUEST_FAILED, this.id, reason, status, this.route, server, attempts,
+				this.clock.ageMillis(), use.connection(), use.calls(), use.repeated(), this.planVersion);
 	}
 
 	void abandoned(CallerHandler.Disconnection reason, String server, boolean cancelled) {
-		this.log.record(Event.REQUEST_ABANDONED, this.id, reason, this.route, server, cancelled, ageMillis());
+		this.log.record(Event.REQUEST_ABANDONED, this.id, reason, this.route, server, cancelled,
+				this.clock.ageMillis());
 	}
 
 	void responseCut(CallerHandler.Disconnection reason) {
-		this.log.record(Event.RESPONSE_CUT, this.id, reason, this.route, ageMillis());
+		this.log.record(Event.RESPONSE_CUT, this.id, reason, this.route, this.clock.ageMillis());
 	}
 
 	void responseUnconfirmed(CallerHandler.Disconnection reason) {
-		this.log.record(Event.RESPONSE_UNCONFIRMED, this.id, reason, this.route, ageMillis());
+		this.log.record(Event.RESPONSE_UNCONFIRMED, this.id, reason, this.route, this.clock.ageMillis());
 	}
 
 	void attemptFailed(ServerState server, int attempts, String failure, ConnectionUse use, String detail) {
-		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, ageMillis(),
+		this.log.record(Event.ATTEMPT_FAILED, this.id, server.entry().id(), attempts, failure, this.clock.ageMillis(),
 				use.connection(), use.calls(), use.repeated(), detail);
 	}
 
@@ -79,8 +78,4 @@
 		this.log.record(Event.SERVER_EJECTED, server.entry().id(), server.entry().service(), reason);
 	}
 
-	private long ageMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedAt);
-	}
-
 }
--- a/masticlane/src/test/java/io/masticlane/fleet/GatewayFleetTests.java
+++ b/masticlane/src/test/java/io/masticlane/fleet/GatewayFleetTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.masticlane.message.Message;
+import io.masticlane.peer.Peer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -136,8 +137,9 @@
 	}
 
 	private void report(String host, boolean ready, boolean leaving, long now) {
-		this.fleet.reportReceived(host, new Message.GatewayReport(1, 1, "", leaving, ready, Map.of(), Map.of(),
-				GatewayFleet.toPerMille(Map.of("ledger", 0.25))), now);
+		Message.GatewayReport report = new Message.GatewayReport(1, 1, "", leaving, ready, Map.of(), Map.of(),
+				GatewayFleet.toPerMille(Map.of("ledger", 0.25)));
+		this.fleet.reportReceived(new ReceivedReport(new Peer(host, "1"), 0, report, now, true));
 	}
 
 	private static Gateway gateway(String host, String region) {
--- a/masticlane/src/test/java/io/masticlane/fleet/RelayTopologyTests.java
+++ b/masticlane/src/test/java/io/masticlane/fleet/RelayTopologyTests.java
@@ -23,8 +23,8 @@
 
 	@Test
 	public void hostsOfASmallFleetConnectToEachOther() {
-		RelayTopology.Links links = new RelayTopology("h00").links(gateway(0), this.fleet.subList(1, 30),
-				(host) -> true, 48, 0);
+		RelayTopology.Links links = new RelayTopology().links(gateway(0), this.fleet.subList(1, 30), (host) -> true, 48,
+				0);
 		assertFalse(links.relayed());
 		assertEquals(links.dialled().size(), 29);
 	}
@@ -34,9 +34,9 @@
 	 */
 	@Test
 	public void aHostOfALargeFleetConnectsToTwoRelaysAndARelayToThoseOfEachRegion() {
-		assertEquals(links(gateway(95), new RelayTopology("h95"), 0).relays(), Set.of("h02", "h05"));
-		assertEquals(links(gateway(95), new RelayTopology("h95"), 0).dialled().size(), 2);
-		RelayTopology.Links relay = links(gateway(2), new RelayTopology("h02"), 0);
+		assertEquals(links(gateway(95), new RelayTopology(), 0).relays(), Set.of("h02", "h05"));
+		assertEquals(links(gateway(95), new RelayTopology(), 0).dialled().size(), 2);
+		RelayTopology.Links relay = links(gateway(2), new RelayTopology(), 0);
 		assertTrue(relay.relay());
 		assertEquals(relay.remoteRelays(), Set.of("h00", "h03", "h01", "h04"));
 		assertEquals(relay.dialled().size(), 5);
@@ -48,10 +48,10 @@
 	@Test
 	public void theNextHostReplacesARelayThatCannotBeReached() {
 		this.unreachable.addAll(Set.of("h02", "h05"));
-		RelayTopology topology = new RelayTopology("h95");
+		RelayTopology topology = new RelayTopology();
 		assertEquals(links(gateway(95), topology, 0).relays(), Set.of());
 		assertEquals(links(gateway(95), topology, LATER).relays(), Set.of("h08", "h11"));
-		RelayTopology next = new RelayTopology("h08");
+		RelayTopology next = new RelayTopology();
 		links(gateway(8), next, 0);
 		assertTrue(links(gateway(8), next, LATER).relay());
 	}
--- a/masticlane/src/test/java/io/masticlane/gateway/ReportRelayTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/ReportRelayTests.java
@@ -117,7 +117,7 @@
 			this.description = new Gateway(String.format("h%03d", index), "1", "dc", "region-" + index % 3,
 					new InetSocketAddress("127.0.0.1", 1), new InetSocketAddress("127.0.0.1", 2), false,
 					HostCapacity.UNKNOWN);
-			this.topology = new RelayTopology(this.description.host());
+			this.topology = new RelayTopology();
 		}
 
 		private void tick() {
--- a/masticlane/src/test/java/io/masticlane/quota/PartitionedRateTests.java
+++ b/masticlane/src/test/java/io/masticlane/quota/PartitionedRateTests.java
@@ -12,7 +12,9 @@
 
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
+import io.masticlane.fleet.ReceivedReport;
 import io.masticlane.message.Message;
+import io.masticlane.peer.Peer;
 import io.masticlane.plan.OrganisationPlan;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -135,7 +137,8 @@
 		IntStream.range(0, GATEWAYS)
 			.filter((other) -> other != sender && connected.test(sender, other))
 			.forEach((other) -> {
-				fleets.get(other).reportReceived("entry-" + sender, report, now);
+				fleets.get(other)
+					.reportReceived(new ReceivedReport(new Peer("entry-" + sender, "1"), 0, report, now, true));
 				shares.get(other).reportReceived("entry-" + sender, "1", admitted, refused);
 			});
 	}
