Log when all items of the store are read and when its position reverts

Event 6116 names both positions and why all items were read, event 6117 a response with a lower position, and masticlane_gateway_store_snapshots_total counts the reads. StoreFollowerTests, EventTests and MetricsTests passed.

--- a/masticlane/src/main/java/io/masticlane/event/Event.java
+++ b/masticlane/src/main/java/io/masticlane/event/Event.java
@@ -192,6 +192,16 @@
 	 */
 	HOSTS_NAMED(6115, Severity.INFORMATION, "data_centre={} count={} hosts={} before={}"),
 
+	/**
+	 * All items of the store were read.
+	 */
+	STORE_READ(6116, Severity.INFORMATION, "reason={} position={} former={} items={} detail={}"),
+
+	/**
+	 * The store responded with a lower position than before.
+	 */
+	STORE_POSITION_REVERTED(6117, Severity.WARNING, "position={} former={}"),
+
 	/**
 	 * A request was refused and did not run.
 	 */
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.masticlane.gateway;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -100,6 +101,12 @@
 		.labelNames("outcome")
 		.register(this.registry);
 
+	private final Counter storeReads = Counter.builder()
+		.name("masticlane_gateway_store_snapshots_total")
+		.help("Reads of all items of the store, by their reason.")
+		.labelNames("reason")
+		.register(this.registry);
+
 	private final Counter healthChecks = Counter.builder()
 		.name("masticlane_gateway_health_checks_total")
 		.help("Health checks of backend servers while the store does not respond, by result.")
@@ -205,6 +212,10 @@
 		this.storeCalls.labelValues(succeeded ? "answered" : "failed").inc();
 	}
 
+	void storeRead(StoreFollower.SnapshotReason reason) {
+		this.storeReads.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	void healthCheckFinished(String result) {
 		this.healthChecks.labelValues(result).inc();
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -70,8 +70,12 @@
 	}
 
 	@Override
-	public void itemsReplaced(List<SharedState.Item> items) {
+	public void itemsReplaced(StoreFollower.Snapshot snapshot) {
 		long now = System.nanoTime();
+		List<SharedState.Item> items = snapshot.items();
+		this.gateway.metrics().storeRead(snapshot.reason());
+		this.events.record(Event.STORE_READ, snapshot.reason(), snapshot.position(), snapshot.formerPosition(),
+				items.size(), snapshot.detail());
 		Set<String> presentKeys = new HashSet<>();
 		items.forEach((item) -> presentKeys.add(item.key()));
 		this.rejections.keySet().retainAll(presentKeys);
@@ -121,6 +125,11 @@
 		}
 	}
 
+	@Override
+	public void positionReverted(long position, long former) {
+		this.events.record(Event.STORE_POSITION_REVERTED, position, former);
+	}
+
 	@Override
 	public void itemFailed(String key, RuntimeException reason) {
 		reject(key, reason);
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -39,6 +39,8 @@
 
 	private long lastResponseAt;
 
+	private SnapshotReason snapshotReason = SnapshotReason.START;
+
 	private boolean lost;
 
 	private boolean stopped;
@@ -136,7 +138,8 @@
 				return;
 			}
 			try {
-				this.listener.itemsReplaced(items);
+				this.listener
+					.itemsReplaced(new Snapshot(items, snapshotPosition, this.position, this.snapshotReason, ""));
 			}
 			catch (RuntimeException ex) {
 				this.listener.itemFailed("all items", ex);
@@ -154,6 +157,9 @@
 		long waitMillis = this.forwarding.getAsBoolean() ? GatewayTimes.RELAY_LONG_POLL_MILLIS
 				: GatewayTimes.LONG_POLL_MILLIS;
 		onSuccess(this.store.changes(ALL_KEYS, after, waitMillis), (changes) -> {
+			if (changes.position() < after) {
+				this.listener.positionReverted(changes.position(), after);
+			}
 			this.position = Math.max(this.position, changes.position());
 			changes.items().forEach(this::deliver);
 			schedule(this.pauseMillis, this::follow);
@@ -204,6 +210,7 @@
 		if (failure instanceof SharedState.HistoryLostException) {
 			succeeded();
 			this.position = -1;
+			this.snapshotReason = SnapshotReason.HISTORY_DISCARDED;
 		}
 		else if (!this.lost && overdueMillis() > 0) {
 			this.lost = true;
@@ -219,6 +226,41 @@
 		this.nextRead = this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Why all items are read.
+	 */
+	enum SnapshotReason {
+
+		/**
+		 * Nothing was read before.
+		 */
+		START,
+
+		/**
+		 * The store no longer keeps the changes after the position.
+		 */
+		HISTORY_DISCARDED
+
+	}
+
+	/**
+	 * All items of the store.
+	 *
+	 * @param items the items
+	 * @param position the position up to which the changes are included
+	 * @param formerPosition the position up to which changes were received before, or -1
+	 * @param reason why the items were read
+	 * @param detail details of the reason, which may be empty
+	 */
+	record Snapshot(List<SharedState.Item> items, long position, long formerPosition, SnapshotReason reason,
+			String detail) {
+
+		Snapshot {
+			items = List.copyOf(items);
+		}
+
+	}
+
 	/**
 	 * Changes of the store.
 	 *
@@ -242,9 +284,16 @@
 
 		/**
 		 * Replaces all items.
-		 * @param items the items
+		 * @param snapshot the items
+		 */
+		void itemsReplaced(Snapshot snapshot);
+
+		/**
+		 * Handles a response with a lower position than before.
+		 * @param position the position of the response
+		 * @param former the position before
 		 */
-		void itemsReplaced(List<SharedState.Item> items);
+		void positionReverted(long position, long former);
 
 		/**
 		 * Handles a change of an item.
--- a/masticlane/src/main/java/io/masticlane/report/RequestHistory.java
+++ b/masticlane/src/main/java/io/masticlane/report/RequestHistory.java
@@ -25,8 +25,8 @@
 
 	private static final String SERVER = "server";
 
-	private static final Set<String> FLEET_STATE_EVENTS = Set.of("PLAN_IN_FORCE", "EVACUATION_CHANGED", "STORE_LOST",
-			"STORE_HEARD");
+	private static final Set<String> FLEET_STATE_EVENTS = Set.of("PLAN_IN_FORCE", "EVACUATION_CHANGED", "STORE_READ",
+			"STORE_POSITION_REVERTED", "STORE_LOST", "STORE_HEARD");
 
 	private final List<Line> lines;
 
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -110,7 +110,7 @@
 		private final AtomicInteger snapshots = new AtomicInteger();
 
 		@Override
-		public void itemsReplaced(List<SharedState.Item> items) {
+		public void itemsReplaced(StoreFollower.Snapshot snapshot) {
 			if (this.failSnapshots.getAndDecrement() > 0) {
 				throw new IllegalStateException("unexpected snapshot");
 			}
@@ -125,6 +125,10 @@
 			this.changed.add(item.key());
 		}
 
+		@Override
+		public void positionReverted(long position, long former) {
+		}
+
 		@Override
 		public void itemFailed(String key, RuntimeException reason) {
 			this.failed.add(key);
