Query other hosts for a newer plan although some have the same old one

Callers of hosts that the store rejects could be served under an old plan until the store accepted them again, beyond the bound for an unstable store.

Cause: a gateway queries a peer once reports have shown a newer plan for 900 ms, and each report of the same old plan ended that wait. Two hosts that are behind report to each other every 500 ms, so neither ever asked the rest.

Change: OutdatedPlan decides; only a newer own plan ends the wait.

--- a/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/PeerReports.java
@@ -11,6 +11,7 @@
 import io.masticlane.event.Event;
 import io.masticlane.fleet.Gateway;
 import io.masticlane.fleet.GatewayFleet;
+import io.masticlane.fleet.OutdatedPlan;
 import io.masticlane.fleet.ReceivedReport;
 import io.masticlane.fleet.RelayTopology;
 import io.masticlane.fleet.ReportBundle;
@@ -70,9 +71,8 @@
 
 	private RelayTopology.Links links = new RelayTopology.Links(false, false, List.of(), Set.of(), Set.of(), Set.of());
 
-	private long planOutdatedSince;
-
-	private boolean planOutdated;
+	private final OutdatedPlan outdatedPlan = new OutdatedPlan(
+			TimeUnit.MILLISECONDS.toNanos(GatewayTimes.PLAN_QUERY_DELAY_MILLIS));
 
 	private long appliedPosition = -1;
 
@@ -245,15 +245,7 @@
 		this.gateway.shares()
 			.reportReceived(received.origin().host(), received.origin().incarnation(), report.admitted(),
 					report.refused());
-		if (report.planVersion() <= this.gateway.plan().version()) {
-			this.planOutdated = false;
-		}
-		else if (!this.planOutdated) {
-			this.planOutdated = true;
-			this.planOutdatedSince = now;
-		}
-		else if (now - this.planOutdatedSince > TimeUnit.MILLISECONDS.toNanos(GatewayTimes.PLAN_QUERY_DELAY_MILLIS)) {
-			this.planOutdatedSince = now;
+		if (this.outdatedPlan.isQueryDue(this.gateway.plan().version(), report.planVersion(), now)) {
 			this.network.send(sender, new Message.ConfigurationQuery(this.gateway.plan().version()));
 		}
 		if (this.freshness.isStoreOverdue()
