Read all items again when the store may have been restored

Cause: StoreFollower continued from its position after any interruption, and kept the higher of two positions. A store that comes back from a copy gives out revisions again. A change at a revision that the hosts had read before was then in no response, and nothing compared the state later, so it was missed until the next change.

Change: a position counts within a session. The follower reads all items if the session has changed, or if a response has a lower position. Changes that a relay forwards are not applied before. Servers that the copy lacks keep their entries for the time in which they write them again.

--- a/masticlane/src/main/java/io/masticlane/client/ClientCall.java
+++ b/masticlane/src/main/java/io/masticlane/client/ClientCall.java
@@ -125,6 +125,8 @@
 
 		private final BiConsumer<ConnectionUse, String> unexpectedDataListener;
 
+		private final Runnable closedListener;
+
 		private final SentIdentifiers sentIdentifiers = new SentIdentifiers();
 
 		private ChannelHandlerContext context;
@@ -139,6 +141,8 @@
 
 		private boolean reusable;
 
+		private boolean closedHere;
+
 		private long idleSince = System.nanoTime();
 
 		private long idleTimeoutNanos = Long.MAX_VALUE;
@@ -151,12 +155,15 @@
 		 * @param onComplete notified when the connection may carry another call
 		 * @param unexpectedDataListener notified of data that no call awaits, with the
 		 * last use of the connection
+		 * @param closedListener notified if the other end closes the connection while no
+		 * call is in progress
 		 */
 		Handler(long number, boolean responsesWithoutBody, Consumer<Handler> onComplete,
-				BiConsumer<ConnectionUse, String> unexpectedDataListener) {
+				BiConsumer<ConnectionUse, String> unexpectedDataListener, Runnable closedListener) {
 			this.number = number;
 			this.onComplete = onComplete;
 			this.unexpectedDataListener = unexpectedDataListener;
+			this.closedListener = closedListener;
 			this.decoder = new ResponseDecoder(responsesWithoutBody, this::isAwaitingResponse, this::discard);
 		}
 
@@ -241,6 +248,7 @@
 		}
 
 		void close() {
+			this.closedHere = true;
 			this.context.close();
 		}
 
@@ -277,7 +285,7 @@
 			}
 			if (disposition == ResponseListener.Disposition.DOUBTFUL || this.unexpectedResponse || !this.requestWritten
 					|| !this.reusable || !HttpUtil.isKeepAlive(response)) {
-				reset(read.channel());
+				resetHere();
 				return;
 			}
 			updateIdleTimeout(response);
@@ -301,7 +309,7 @@
 		 */
 		private void discard(String data) {
 			if (this.context.channel().isOpen()) {
-				reset(this.context.channel());
+				resetHere();
 				this.unexpectedDataListener.accept(this.lastUse, data);
 			}
 		}
@@ -313,6 +321,15 @@
 			if (activeCall != null) {
 				activeCall.fail(failure, detail);
 			}
+			else if (!this.closedHere) {
+				this.closedHere = true;
+				this.closedListener.run();
+			}
+		}
+
+		private void resetHere() {
+			this.closedHere = true;
+			reset(this.context.channel());
 		}
 
 		private void updateIdleTimeout(FullHttpResponse response) {
--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -65,7 +65,7 @@
 
 	private final ChannelGroup open;
 
-	private final UnexpectedDataListener unexpectedDataListener;
+	private final IdleConnectionListener idleConnectionListener;
 
 	private long connections;
 
@@ -75,16 +75,17 @@
 	 * @param connectTimeoutMillis the timeout for connecting, in milliseconds
 	 * @param idleMillis the maximum idle time of a connection, in milliseconds
 	 * @param memory the memory for the bodies of responses
-	 * @param unexpectedDataListener notified of data on idle connections
+	 * @param idleConnectionListener notified of data on idle connections, and of the
+	 * connections that the other end closes
 	 */
 	public ConnectionPool(EventLoop loop, int connectTimeoutMillis, long idleMillis, MessageMemory memory,
-			UnexpectedDataListener unexpectedDataListener) {
+			IdleConnectionListener idleConnectionListener) {
 		this.loop = loop;
 		this.connectTimeoutMillis = connectTimeoutMillis;
 		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(idleMillis);
 		this.memory = memory;
 		this.open = new DefaultChannelGroup(loop);
-		this.unexpectedDataListener = unexpectedDataListener;
+		this.idleConnectionListener = idleConnectionListener;
 	}
 
 	/**
@@ -234,7 +235,8 @@
 	private void initialize(SocketChannel channel, Destination destination) {
 		ClientCall.Handler handler = new ClientCall.Handler(++this.connections, destination.head(),
 				(released) -> release(destination, released),
-				(lastUse, data) -> this.unexpectedDataListener.dataReceived(destination.address(), lastUse, data));
+				(lastUse, data) -> this.idleConnectionListener.dataReceived(destination.address(), lastUse, data),
+				() -> this.idleConnectionListener.connectionClosed(destination.address()));
 		channel.pipeline()
 			.addLast(new HttpRequestEncoder(), handler.decoder(),
 					new ResponseAggregator(this.memory, handler::isAwaitingResponse, handler::reservation), handler);
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -79,6 +79,11 @@
 		Set<String> presentKeys = new HashSet<>();
 		items.forEach((item) -> presentKeys.add(item.key()));
 		this.rejections.keySet().retainAll(presentKeys);
+		if (snapshot.restored()) {
+			// Servers that registered lately are missing until they write their entries
+			// again.
+			this.registry.storeRecovered(now);
+		}
 		this.registry.entriesReplaced(items.stream()
 			.flatMap((item) -> parseServer(this.gateway.dialect().key(item.key()), item).stream())
 			.toList(), now);
--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -12,9 +12,11 @@
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * Follows the store: reads all items once, then the changes in batches, and all items
- * again when the store no longer holds the changes in between. Changes that a relay has
- * read replace own reads while they arrive without a gap.
+ * Follows the store: reads all items once, then the changes in batches. All items are
+ * read again when the store no longer holds the changes in between, and when it may have
+ * been restored from an earlier state: it then gives out positions again, and a change at
+ * a position that was read before would be missed. Changes that a relay has read replace
+ * own reads while they arrive without a gap.
  */
 final class StoreFollower {
 
@@ -39,8 +41,12 @@
 
 	private long lastResponseAt;
 
+	private SharedState.Session session;
+
 	private SnapshotReason snapshotReason = SnapshotReason.START;
 
+	private boolean snapshotDue = true;
+
 	private boolean lost;
 
 	private boolean stopped;
@@ -57,6 +63,7 @@
 		this.store = store;
 		this.listener = listener;
 		this.pauseMillis = pauseMillis;
+		this.session = store.session();
 		this.lastResponseAt = System.nanoTime();
 	}
 
@@ -71,7 +78,7 @@
 	}
 
 	void start() {
-		readAll();
+		read();
 	}
 
 	void stop() {
@@ -79,14 +86,15 @@
 	}
 
 	/**
-	 * Applies changes that a relay has read, unless they leave a gap or are known. A
-	 * batch that overlaps with known changes is applied whole: it ends with the newest
-	 * value of each of its keys.
+	 * Applies changes that a relay has read, unless they leave a gap or are known, or all
+	 * items have to be read. A batch that overlaps with known changes is applied whole:
+	 * it ends with the newest value of each of its keys.
 	 * @param batch the changes
 	 * @return whether the changes were applied
 	 */
 	boolean apply(Batch batch) {
-		if (this.stopped || this.position < 0 || batch.after() > this.position || batch.position() < this.position) {
+		if (this.stopped || this.snapshotDue || isInterrupted() || batch.after() > this.position
+				|| batch.position() < this.position) {
 			return false;
 		}
 		this.lastResponseAt = System.nanoTime();
@@ -96,7 +104,7 @@
 		}
 		this.position = batch.position();
 		batch.items().forEach(this::deliver);
-		schedule(this.pauseMillis + GatewayTimes.RELAYED_CHANGES_MARGIN_MILLIS, this::follow);
+		schedule(this.pauseMillis + GatewayTimes.RELAYED_CHANGES_MARGIN_MILLIS, this::read);
 		return true;
 	}
 
@@ -125,33 +133,57 @@
 		return ageMillis() - this.pauseMillis - GatewayTimes.LONG_POLL_MILLIS - GatewayTimes.STORE_LOST_MARGIN_MILLIS;
 	}
 
-	private void readAll() {
-		readPage(ALL_KEYS, new ArrayList<>(), -1);
+	private boolean isInterrupted() {
+		return this.store.session().number() != this.session.number();
+	}
+
+	private void read() {
+		if (!this.snapshotDue && isInterrupted()) {
+			requireSnapshot(SnapshotReason.INTERRUPTED);
+		}
+		if (this.snapshotDue) {
+			readPage(new SnapshotRead(this.store.session(), System.nanoTime(), new ArrayList<>()), ALL_KEYS, -1);
+		}
+		else {
+			readChanges();
+		}
+	}
+
+	private boolean isLaterEra(SharedState.Session current) {
+		return this.session.era().isPresent() && !current.era().equals(this.session.era());
+	}
+
+	private void requireSnapshot(SnapshotReason reason) {
+		this.snapshotDue = true;
+		this.snapshotReason = reason;
 	}
 
-	private void readPage(String after, List<SharedState.Item> items, long firstPagePosition) {
+	private void readPage(SnapshotRead read, String after, long firstPagePosition) {
 		onSuccess(this.store.page(ALL_KEYS, after), (page) -> {
-			items.addAll(page.items());
+			read.items().addAll(page.items());
 			long snapshotPosition = (firstPagePosition < 0) ? page.position() : firstPagePosition;
 			if (page.more() && !page.items().isEmpty()) {
-				readPage(page.items().get(page.items().size() - 1).key(), items, snapshotPosition);
+				readPage(read, page.items().get(page.items().size() - 1).key(), snapshotPosition);
 				return;
 			}
 			try {
-				this.listener
-					.itemsReplaced(new Snapshot(items, snapshotPosition, this.position, this.snapshotReason, ""));
+				this.listener.itemsReplaced(new Snapshot(read.items(), read.startedAt(), snapshotPosition,
+						this.position, snapshotPosition < this.position || isLaterEra(read.session()),
+						this.snapshotReason, read.session().beginning()));
 			}
 			catch (RuntimeException ex) {
 				this.listener.itemFailed("all items", ex);
-				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::readAll);
+				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::read);
 				return;
 			}
+			this.session = read.session();
 			this.position = snapshotPosition;
-			follow();
+			this.snapshotDue = false;
+			readChanges();
 		});
 	}
 
-	private void follow() {
+	private void readChanges() {
 		long after = this.position;
 		boolean wasLost = this.lost;
 		long waitMillis = this.forwarding.getAsBoolean() ? GatewayTimes.RELAY_LONG_POLL_MILLIS
@@ -159,10 +191,13 @@
 		onSuccess(this.store.changes(ALL_KEYS, after, waitMillis), (changes) -> {
 			if (changes.position() < after) {
 				this.listener.positionReverted(changes.position(), after);
+				requireSnapshot(SnapshotReason.REVERTED);
+				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::read);
+				return;
 			}
-			this.position = Math.max(this.position, changes.position());
+			this.position = changes.position();
 			changes.items().forEach(this::deliver);
-			schedule(this.pauseMillis, this::follow);
+			schedule(this.pauseMillis, this::read);
 			this.forwarder.accept(new Batch(after, changes.position(), changes.items(), wasLost));
 		});
 	}
@@ -209,14 +244,13 @@
 		this.listener.callCompleted(false);
 		if (failure instanceof SharedState.HistoryLostException) {
 			succeeded();
-			this.position = -1;
-			this.snapshotReason = SnapshotReason.HISTORY_DISCARDED;
+			requireSnapshot(SnapshotReason.HISTORY_DISCARDED);
 		}
 		else if (!this.lost && overdueMillis() > 0) {
 			this.lost = true;
 			this.listener.storeLost(String.valueOf(failure.getMessage()));
 		}
-		schedule(GatewayTimes.RETRY_PAUSE_MILLIS, (this.position < 0) ? this::readAll : this::follow);
+		schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::read);
 	}
 
 	private void schedule(long millis, Runnable task) {
@@ -239,7 +273,17 @@
 		/**
 		 * The store no longer keeps the changes after the position.
 		 */
-		HISTORY_DISCARDED
+		HISTORY_DISCARDED,
+
+		/**
+		 * The store may have been away, and restored, since the last read.
+		 */
+		INTERRUPTED,
+
+		/**
+		 * The store responded with a lower position than before.
+		 */
+		REVERTED
 
 	}
 
@@ -247,13 +291,16 @@
 	 * All items of the store.
 	 *
 	 * @param items the items
+	 * @param startedAt when the first of them was read, in nanoseconds
 	 * @param position the position up to which the changes are included
 	 * @param formerPosition the position up to which changes were received before, or -1
+	 * @param restored whether the store came back from an earlier state
 	 * @param reason why the items were read
-	 * @param detail details of the reason, which may be empty
+	 * @param detail what began the session in which the items were read, empty for the
+	 * first one
 	 */
-	record Snapshot(List<SharedState.Item> items, long position, long formerPosition, SnapshotReason reason,
-			String detail) {
+	record Snapshot(List<SharedState.Item> items, long startedAt, long position, long formerPosition, boolean restored,
+			SnapshotReason reason, String detail) {
 
 		Snapshot {
 			items = List.copyOf(items);
@@ -261,6 +308,9 @@
 
 	}
 
+	private record SnapshotRead(SharedState.Session session, long startedAt, List<SharedState.Item> items) {
+	}
+
 	/**
 	 * Changes of the store.
 	 *
--- a/masticlane/src/main/java/io/masticlane/rehearsal/InMemoryState.java
+++ b/masticlane/src/main/java/io/masticlane/rehearsal/InMemoryState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
@@ -22,6 +23,11 @@
 		updates.forEach((item) -> this.items.put(item.key(), new VersionedItem(item, ++this.position)));
 	}
 
+	@Override
+	public Session session() {
+		return new Session(0, OptionalLong.empty(), "");
+	}
+
 	@Override
 	public synchronized CompletableFuture<Page> page(String prefix, String after) {
 		List<Item> found = this.items.tailMap(after, false)
--- a/masticlane/src/main/java/io/masticlane/store/SharedState.java
+++ b/masticlane/src/main/java/io/masticlane/store/SharedState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -11,6 +12,13 @@
  */
 public interface SharedState extends Leases {
 
+	/**
+	 * Returns the current session. A position of an earlier session says nothing about
+	 * the current state of the store, which may have been restored in between.
+	 * @return the session
+	 */
+	Session session();
+
 	/**
 	 * Reads a page of the items whose keys follow a key, in the order of their keys.
 	 * @param prefix the prefix of the keys
@@ -37,6 +45,17 @@
 	 */
 	CompletableFuture<Boolean> put(String key, byte[] value, long lease);
 
+	/**
+	 * A period in which no call was interrupted.
+	 *
+	 * @param number the number of the session, which increases
+	 * @param era the era of the store, which increases whenever it is restored, or empty
+	 * if it states none
+	 * @param beginning what began the session, empty for the first one
+	 */
+	record Session(long number, OptionalLong era, String beginning) {
+	}
+
 	/**
 	 * A page of the items of the store.
 	 *
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -95,6 +96,50 @@
 		assertEquals(follower.position(), 6);
 	}
 
+	/**
+	 * Guards against a change that a restored store confirmed at a position which had
+	 * been read before.
+	 */
+	@Test
+	public void allItemsAreReadAgainAfterAnInterruption() {
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 20);
+		this.loop.execute(follower::start);
+		Await.until("a first read", () -> this.store.position > 2);
+		this.store.session = new SharedState.Session(1, OptionalLong.empty(), "timeout");
+		Await.until("a second snapshot is received", () -> this.recorder.snapshots.get() == 2);
+		assertEquals(this.recorder.last.reason(), StoreFollower.SnapshotReason.INTERRUPTED);
+		assertFalse(this.recorder.last.restored());
+	}
+
+	/**
+	 * Guards against a follower that waits at its position until the restored store has
+	 * reached it again, and against servers that are dropped since the copy lacks them.
+	 */
+	@Test
+	public void allItemsAreReadAgainWhenThePositionOfTheStoreReverts() {
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 20);
+		this.loop.execute(follower::start);
+		Await.until("some reads", () -> this.store.position > 10);
+		this.loop.execute(() -> this.store.position = 3);
+		Await.until("a second snapshot is received", () -> this.recorder.snapshots.get() == 2);
+		assertEquals(this.recorder.last.reason(), StoreFollower.SnapshotReason.REVERTED);
+		assertTrue(this.recorder.last.restored());
+		Await.until("reads go on at the lower position", () -> follower.position() > 4);
+	}
+
+	/**
+	 * Guards against changes of a relay that fill the position of a restored store.
+	 */
+	@Test
+	public void changesFromARelayAreNotAppliedAfterAnInterruption() throws Exception {
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 5_000);
+		this.loop.execute(follower::start);
+		Await.until("a first read", () -> this.store.position == 1);
+		this.store.session = new SharedState.Session(1, OptionalLong.empty(), "timeout");
+		assertFalse(this.loop.submit(() -> follower.apply(new StoreFollower.Batch(1, 2, List.of(item("next")), false)))
+			.get());
+	}
+
 	private static SharedState.Item item(String key) {
 		return new SharedState.Item(key, Optional.of(new byte[0]));
 	}
@@ -109,11 +154,14 @@
 
 		private final AtomicInteger snapshots = new AtomicInteger();
 
+		private volatile StoreFollower.Snapshot last;
+
 		@Override
 		public void itemsReplaced(StoreFollower.Snapshot snapshot) {
 			if (this.failSnapshots.getAndDecrement() > 0) {
 				throw new IllegalStateException("unexpected snapshot");
 			}
+			this.last = snapshot;
 			this.snapshots.incrementAndGet();
 		}
 
@@ -154,6 +202,13 @@
 
 		private volatile int position;
 
+		private volatile Session session = new Session(0, OptionalLong.empty(), "");
+
+		@Override
+		public Session session() {
+			return this.session;
+		}
+
 		@Override
 		public CompletableFuture<Page> page(String prefix, String after) {
 			return CompletableFuture.completedFuture(new Page(List.of(), false, this.position));
