Register a host again if a restored store lacks its entry

After the store came back from a copy that is older than a host's registration, look-ups and shares of rates left the host out for good, where the number of its lease was given out again.

Cause: a registration is known by the number of its lease alone. The copy lacks the lease, and another client may get its number; the host then renews the other client's lease and never writes its entry again.

Steps of a registration that are replaced are cancelled.

Before: RestoredStoreTests#aHostWhoseEntryTheCopyLacksRegistersAgain fails, the entry is missing after 8 s. After: it passes; GatewayDaemonTests passed.

--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayDaemon.java
@@ -111,7 +111,7 @@
 		this.directory = new HostDirectory(this.gateway, this.fleet, settings, this::isReady);
 		long followPauseMillis = GatewayTimes.followPauseMillis(settings);
 		this.view = new GatewayView(this.gateway, this.fleet, settings.host(), this.directory::region,
-				this::connectPeers, followPauseMillis + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
+				this::connectPeers, this::ownEntryMissing, followPauseMillis + GatewayTimes.STORE_LOST_MARGIN_MILLIS);
 		SharedState store = platform.store(this.loop, settings.storeAddress());
 		this.follower = new StoreFollower(this.loop, store, this.view, followPauseMillis);
 		this.registration = new Registration(this.loop, store, this::self, settings.storeMinimumLeaseSeconds(),
@@ -215,6 +215,10 @@
 		this.peers.connect();
 	}
 
+	private void ownEntryMissing(long snapshotStartedAt) {
+		this.registration.entryMissing(snapshotStartedAt);
+	}
+
 	private void tick() {
 		long now = System.nanoTime();
 		this.view.expire(now);
--- a/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/GatewayView.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.UnaryOperator;
 
 import io.masticlane.event.Event;
@@ -48,6 +49,8 @@
 
 	private final Runnable membersChanged;
 
+	private final LongConsumer ownEntryMissing;
+
 	private final long entryDelayNanos;
 
 	private Set<String> evacuatedDataCentres = Set.of();
@@ -59,13 +62,14 @@
 	private boolean loaded;
 
 	GatewayView(GatewayContext gateway, GatewayFleet fleet, String self, UnaryOperator<String> regions,
-			Runnable membersChanged, long entryDelayMillis) {
+			Runnable membersChanged, LongConsumer ownEntryMissing, long entryDelayMillis) {
 		this.gateway = gateway;
 		this.fleet = fleet;
 		this.self = self;
 		this.regions = regions;
 		this.events = gateway.events();
 		this.membersChanged = membersChanged;
+		this.ownEntryMissing = ownEntryMissing;
 		this.entryDelayNanos = TimeUnit.MILLISECONDS.toNanos(entryDelayMillis);
 	}
 
@@ -102,6 +106,9 @@
 				item.value().ifPresent((value) -> updatePlan(value, FROM_STORE));
 			}
 		});
+		if (!presentKeys.contains(GatewayEntry.key(this.self))) {
+			this.ownEntryMissing.accept(snapshot.startedAt());
+		}
 		this.loaded = true;
 		openIfReady();
 	}
--- a/masticlane/src/main/java/io/masticlane/gateway/Registration.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/Registration.java
@@ -1,5 +1,6 @@
 package io.masticlane.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -9,6 +10,7 @@
 import io.masticlane.fleet.GatewayEntry;
 import io.masticlane.store.SharedState;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * Keeps the entry of this gateway in the store while its process is running.
@@ -31,6 +33,10 @@
 
 	private long renewedAt = System.nanoTime();
 
+	private Optional<Long> writtenAt = Optional.empty();
+
+	private ScheduledFuture<?> nextStep;
+
 	private boolean stopped;
 
 	Registration(EventLoop loop, SharedState store, Supplier<Gateway> self, double minimumLeaseSeconds,
@@ -46,6 +52,7 @@
 		if (this.stopped) {
 			return;
 		}
+		this.writtenAt = Optional.empty();
 		long askedAt = System.nanoTime();
 		this.store.grantLease(this.leaseSeconds).whenComplete((granted, failure) -> {
 			if (failure != null) {
@@ -65,13 +72,27 @@
 	void rewrite() {
 		if (this.lease != NO_LEASE && !this.stopped) {
 			put().whenComplete((written, failure) -> {
-				if (failure != null) {
-					retry(this::rewrite, "the entry was not written", failure);
+				if (failure != null && !this.stopped) {
+					failed("the entry was not written", failure);
+					this.loop.schedule(this::rewrite, GatewayTimes.RETRY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
 				}
 			});
 		}
 	}
 
+	/**
+	 * Registers anew if a snapshot of the store does not contain the entry although it
+	 * had been written before. A restored store lacks the lease as well, or has granted
+	 * its number to another gateway.
+	 * @param snapshotStartedAt when the snapshot was begun, in nanoseconds
+	 */
+	void entryMissing(long snapshotStartedAt) {
+		if (this.writtenAt.filter((written) -> snapshotStartedAt - written > 0).isPresent()) {
+			this.failureListener.accept(this.lease, "the store no longer contains the entry");
+			start();
+		}
+	}
+
 	/**
 	 * Returns the time since this gateway asked for the last lease or renewal that it was
 	 * granted. The store counts the lease from a later moment.
@@ -94,6 +115,7 @@
 				retry(this::write, "the entry was not written", failure);
 			}
 			else if (written) {
+				this.writtenAt = Optional.of(System.nanoTime());
 				schedule(this::renew, GatewayTimes.RENEW_INTERVAL_MILLIS);
 			}
 			else {
@@ -107,7 +129,12 @@
 			return;
 		}
 		long askedAt = System.nanoTime();
-		this.store.renewLease(this.lease).whenComplete((alive, failure) -> {
+		long renewed = this.lease;
+		this.store.renewLease(renewed).whenComplete((alive, failure) -> {
+			if (this.writtenAt.isEmpty() || renewed != this.lease) {
+				// The gateway has registered anew in the meantime.
+				return;
+			}
 			if (failure != null) {
 				retry(this::renew, "the lease was not renewed", failure);
 			}
@@ -129,13 +156,20 @@
 
 	private void retry(Runnable task, String message, Throwable failure) {
 		if (!this.stopped) {
-			this.failureListener.accept(this.lease, message + ": " + failure.getMessage());
+			failed(message, failure);
 			schedule(task, GatewayTimes.RETRY_PAUSE_MILLIS);
 		}
 	}
 
+	private void failed(String message, Throwable failure) {
+		this.failureListener.accept(this.lease, message + ": " + failure.getMessage());
+	}
+
 	private void schedule(Runnable task, long millis) {
-		this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+		if (this.nextStep != null) {
+			this.nextStep.cancel(false);
+		}
+		this.nextStep = this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
 	}
 
 }
