--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -197,8 +197,10 @@
 			}
 			this.position = changes.position();
 			changes.items().forEach(this::deliver);
-			schedule(this.pauseMillis, this::read);
-			this.forwarder.accept(new Batch(after, changes.position(), changes.items(), wasLost));
+			schedule(isLaterEra(this.store.session()) ? 0 : this.pauseMillis, this::read);
+			if (!isInterrupted()) {
+				this.forwarder.accept(new Batch(after, changes.position(), changes.items(), wasLost));
+			}
 		});
 	}
 
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -111,6 +111,24 @@
 		assertFalse(this.recorder.last.restored());
 	}
 
+	/**
+	 * Guards against a follower that pauses although a response told it of a restored
+	 * store.
+	 */
+	@Test
+	public void allItemsAreReadAtOnceInALaterEra() {
+		this.store.session = new SharedState.Session(0, OptionalLong.of(1), "");
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 1_000);
+		this.loop.execute(follower::start);
+		Await.until("a first read", () -> this.store.position == 1);
+		this.store.eraAfterNextRead = 2;
+		Await.until("a second read", () -> this.store.position > 1);
+		long readAt = System.nanoTime();
+		Await.until("a second snapshot is received", () -> this.recorder.snapshots.get() == 2);
+		assertTrue(System.nanoTime() - readAt < 500_000_000, "the snapshot came too late");
+		assertTrue(this.recorder.last.restored());
+	}
+
 	/**
 	 * Guards against a follower that waits at its position until the restored store has
 	 * reached it again, and against servers that are dropped since the copy lacks them.
@@ -202,6 +220,8 @@
 
 		private volatile int position;
 
+		private volatile long eraAfterNextRead;
+
 		private volatile Session session = new Session(0, OptionalLong.empty(), "");
 
 		@Override
@@ -218,6 +238,9 @@
 		public CompletableFuture<Changes> changes(String prefix, long from, long waitMillis) {
 			List<Item> items = (this.position < this.batches.size()) ? this.batches.get(this.position) : List.of();
 			this.position++;
+			if (this.eraAfterNextRead > 0) {
+				this.session = new Session(1, OptionalLong.of(this.eraAfterNextRead), "era ended");
+			}
 			return CompletableFuture.completedFuture(new Changes(items, this.position));
 		}
 
