Do not deliver changes that a relay overtook

A host's own read that ends after a relay has sent newer changes replaced newer values by older ones until the next change. StoreFollowerTests has the case.

--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -195,8 +195,10 @@
 				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::read);
 				return;
 			}
-			this.position = changes.position();
-			changes.items().forEach(this::deliver);
+			if (changes.position() >= this.position) {
+				this.position = changes.position();
+				changes.items().forEach(this::deliver);
+			}
 			schedule(isLaterEra(this.store.session()) ? 0 : this.pauseMillis, this::read);
 			if (!isInterrupted()) {
 				this.forwarder.accept(new Batch(after, changes.position(), changes.items(), wasLost));
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -145,6 +145,24 @@
 		Await.until("reads go on at the lower position", () -> follower.position() > 4);
 	}
 
+	/**
+	 * Guards against older values that replace newer ones which a relay sent during the
+	 * read.
+	 */
+	@Test
+	public void changesThatARelayOvertookAreNotDelivered() throws Exception {
+		this.store.held = new CompletableFuture<>();
+		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 20);
+		this.loop.execute(follower::start);
+		Await.until("a snapshot is received", () -> this.recorder.snapshots.get() == 1);
+		CompletableFuture<SharedState.Changes> read = this.store.held;
+		this.store.held = null;
+		this.loop.submit(() -> follower.apply(new StoreFollower.Batch(0, 6, List.of(item("newer")), false))).get();
+		this.loop.submit(() -> read.complete(new SharedState.Changes(List.of(item("older")), 4))).get();
+		assertEquals(this.recorder.changed, List.of("newer"));
+		assertEquals(follower.position(), 6);
+	}
+
 	/**
 	 * Guards against changes of a relay that fill the position of a restored store.
 	 */
@@ -222,6 +240,8 @@
 
 		private volatile long eraAfterNextRead;
 
+		private volatile CompletableFuture<Changes> held;
+
 		private volatile Session session = new Session(0, OptionalLong.empty(), "");
 
 		@Override
@@ -236,6 +256,9 @@
 
 		@Override
 		public CompletableFuture<Changes> changes(String prefix, long from, long waitMillis) {
+			if (this.held != null) {
+				return this.held;
+			}
 			List<Item> items = (this.position < this.batches.size()) ? this.batches.get(this.position) : List.of();
 			this.position++;
 			if (this.eraAfterNextRead > 0) {
