Take a refused connection to the store for an interruption

A store that is away for a moment may still answer on open connections while it refuses new ones; a host whose calls fell there noticed nothing. The connection that the client opens ahead now tells it when it is refused as well as when it is closed.

--- a/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
+++ b/masticlane/src/main/java/io/masticlane/client/ConnectionPool.java
@@ -143,7 +143,8 @@
 
 	/**
 	 * Opens a connection ahead of the next call without an identifier, which then takes
-	 * no round trip to connect. Does nothing if there is such a connection already.
+	 * no round trip to connect. Does nothing if there is such a connection already. A
+	 * connection that cannot be opened counts as closed by the other end.
 	 * @param address the address of the other end
 	 */
 	public void prepare(InetSocketAddress address) {
@@ -160,6 +161,9 @@
 			if (connected.isSuccess()) {
 				release(destination, connected.channel().pipeline().get(ClientCall.Handler.class));
 			}
+			else {
+				this.idleConnectionListener.connectionClosed(address);
+			}
 		}));
 	}
 
--- a/masticlane/src/main/java/io/masticlane/client/IdleConnectionListener.java
+++ b/masticlane/src/main/java/io/masticlane/client/IdleConnectionListener.java
@@ -17,7 +17,7 @@
 	void dataReceived(InetSocketAddress address, ConnectionUse lastUse, String data);
 
 	/**
-	 * Handles a connection that the other end closed.
+	 * Handles a connection that the other end closed or did not accept.
 	 * @param address the address of the other end
 	 */
 	default void connectionClosed(InetSocketAddress address) {
