Count the era that the first response states

A process that had read its first page before it knew the era took no later era for one: it paused 1.1 s before it read all items of a restored store, and dropped servers that the copy lacked at once. The session of the first read had been kept without the era that its response stated.

--- a/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
+++ b/masticlane/src/main/java/io/masticlane/gateway/StoreFollower.java
@@ -158,25 +158,25 @@
 		this.snapshotReason = reason;
 	}
 
-	private void readPage(SnapshotRead read, String after, long firstPagePosition) {
+	private void readPage(SnapshotRead started, String after, long firstPagePosition) {
 		onSuccess(this.store.page(ALL_KEYS, after), (page) -> {
-			read.items().addAll(page.items());
+			started.items().addAll(page.items());
 			long snapshotPosition = (firstPagePosition < 0) ? page.position() : firstPagePosition;
 			if (page.more() && !page.items().isEmpty()) {
-				readPage(read, page.items().get(page.items().size() - 1).key(), snapshotPosition);
+				readPage(started, page.items().get(page.items().size() - 1).key(), snapshotPosition);
 				return;
 			}
 			try {
-				this.listener.itemsReplaced(new Snapshot(read.items(), read.startedAt(), snapshotPosition,
-						this.position, snapshotPosition < this.position || isLaterEra(read.session()),
-						this.snapshotReason, read.session().beginning()));
+				this.listener.itemsReplaced(new Snapshot(started.items(), started.at(), snapshotPosition, this.position,
+						snapshotPosition < this.position || isLaterEra(started.session()), this.snapshotReason,
+						started.session().beginning()));
 			}
 			catch (RuntimeException ex) {
 				this.listener.itemFailed("all items", ex);
 				schedule(GatewayTimes.RETRY_PAUSE_MILLIS, this::read);
 				return;
 			}
-			this.session = read.session();
+			this.session = started.session();
 			this.position = snapshotPosition;
 			this.snapshotDue = false;
 			readChanges();
@@ -238,6 +238,10 @@
 	private void succeeded() {
 		this.listener.callCompleted(true);
 		this.lastResponseAt = System.nanoTime();
+		if (!isInterrupted()) {
+			// The first response of a session may be the first that states the era.
+			this.session = this.store.session();
+		}
 		if (this.lost) {
 			this.lost = false;
 			this.listener.storeRecovered();
@@ -312,7 +316,14 @@
 
 	}
 
-	private record SnapshotRead(SharedState.Session session, long startedAt, List<SharedState.Item> items) {
+	/**
+	 * A read of all items that has started.
+	 *
+	 * @param session the session in which it started
+	 * @param at when it started, in nanoseconds
+	 * @param items the items of the pages that were read
+	 */
+	private record SnapshotRead(SharedState.Session session, long at, List<SharedState.Item> items) {
 	}
 
 	/**
--- a/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
+++ b/masticlane/src/test/java/io/masticlane/gateway/StoreFollowerTests.java
@@ -117,8 +117,8 @@
 	 */
 	@Test
 	public void allItemsAreReadAtOnceInALaterEra() {
-		this.store.session = new SharedState.Session(0, OptionalLong.of(1), "");
 		StoreFollower follower = new StoreFollower(this.loop, this.store, this.recorder, 1_000);
+		this.store.eraAfterNextPage = 1;
 		this.loop.execute(follower::start);
 		Await.until("a first read", () -> this.store.position == 1);
 		this.store.eraAfterNextRead = 2;
@@ -238,6 +238,8 @@
 
 		private volatile int position;
 
+		private volatile long eraAfterNextPage;
+
 		private volatile long eraAfterNextRead;
 
 		private volatile CompletableFuture<Changes> held;
@@ -251,6 +253,10 @@
 
 		@Override
 		public CompletableFuture<Page> page(String prefix, String after) {
+			if (this.eraAfterNextPage > 0) {
+				this.session = new Session(0, OptionalLong.of(this.eraAfterNextPage), "");
+				this.eraAfterNextPage = 0;
+			}
 			return CompletableFuture.completedFuture(new Page(List.of(), false, this.position));
 		}
 
