--- /dev/null
+++ b/review/second/Instance.java
@@ -0,0 +1,159 @@
+package second;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A sound instance of a service, which serves until it is told to leave and to exit.
+ */
+final class Instance {
+
+	private final String id;
+
+	private final String service;
+
+	private final String zone;
+
+	private final Store store;
+
+	private final Record record;
+
+	private final int workMillis;
+
+	private final long born = System.currentTimeMillis();
+
+	private final ServerSocket listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final Set<String> ran = ConcurrentHashMap.newKeySet();
+
+	private int sequence;
+
+	private volatile boolean leaving;
+
+	private volatile boolean ended;
+
+	Instance(String id, String service, String zone, int workMillis, Store store, Record record) throws IOException {
+		this.id = id;
+		this.service = service;
+		this.zone = zone;
+		this.store = store;
+		this.record = record;
+		this.workMillis = workMillis;
+		Threads.start(this::accept);
+		Threads.start(this::beat);
+	}
+
+	String id() {
+		return this.id;
+	}
+
+	/**
+	 * Leaves without reporting that it drains: its entry is removed, its responses say
+	 * that it leaves, and it serves on.
+	 */
+	synchronized void leave() {
+		this.leaving = true;
+		this.store.delete("servers/" + this.id);
+		this.record.line("%s leaves: its entry is removed, its answers say Server-Leaving", this.id);
+	}
+
+	/**
+	 * Exits with the requests that it is running.
+	 * @throws IOException if a connection cannot be closed
+	 */
+	void exit() throws IOException {
+		this.ended = true;
+		this.record.line("%s exits with %d requests at work", this.id, this.running.get());
+		this.listener.close();
+		for (Socket each : this.connections) {
+			each.close();
+		}
+	}
+
+	/**
+	 * Returns whether the instance began to work on a request.
+	 * @param request the identifier of the request
+	 * @return whether it has run here
+	 */
+	boolean hasRun(String request) {
+		return this.ran.contains(request);
+	}
+
+	private void beat() {
+		while (!this.ended) {
+			heartbeat();
+			Threads.sleep(1.5);
+		}
+	}
+
+	private synchronized void heartbeat() {
+		if (!this.leaving) {
+			this.store.put("servers/" + this.id, String.format(
+					"{\"Address\":\"127.0.0.1:%d\",\"born\":%d,\"Info\":{\"Service\":\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
+							+ "\"Slots\":8},\"Status\":{\"State\":\"ready\",\"Seq\":%d,\"ColdRemainingS\":0}}",
+					this.listener.getLocalPort(), this.born, this.service, this.zone, ++this.sequence));
+		}
+	}
+
+	private void accept() throws IOException {
+		while (true) {
+			Socket connection = this.listener.accept();
+			connection.setTcpNoDelay(true);
+			this.connections.add(connection);
+			Threads.start(() -> serve(connection));
+		}
+	}
+
+	private void serve(Socket connection) throws IOException {
+		try (connection) {
+			BufferedInputStream input = new BufferedInputStream(connection.getInputStream());
+			var next = Message.read(input);
+			while (next.isPresent()) {
+				String response = respond(next.get());
+				if (this.ended) {
+					return;
+				}
+				connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+				next = Message.read(input);
+			}
+		}
+		finally {
+			this.connections.remove(connection);
+		}
+	}
+
+	private String respond(Message request) {
+		if (request.target().equals("/health")) {
+			return head(this.leaving ? 503 : 200) + "Instance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n";
+		}
+		String requestId = request.header("request-id");
+		String named = request.header("target-instance");
+		if (!named.isEmpty() && !named.equals(this.id)) {
+			return head(421) + "Request-Id: " + requestId + "\r\nInstance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n";
+		}
+		this.running.incrementAndGet();
+		this.ran.add(requestId);
+		this.record.line("%s runs %s %s %s", this.id, requestId, request.method(), request.target());
+		Threads.sleep(this.workMillis / 1e3);
+		this.running.decrementAndGet();
+		String body = "made by " + this.id + " for " + requestId;
+		return head(200) + "Request-Id: " + requestId + "\r\nResponse-Signature: 3e1b.07\r\nServer-Load: " + this.running.get()
+				+ ",0,8\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	private String head(int status) {
+		return "HTTP/1.1 " + status + " Status\r\n" + (this.leaving ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
+	}
+
+}
