--- a/review/second/Instance.java
+++ b/review/second/Instance.java
@@ -3,9 +3,13 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,6 +19,11 @@
  */
 final class Instance {
 
+	/**
+	 * The requests in one second at which a cold instance crashes, well above ColdPerS.
+	 */
+	private static final int CRASH_RATE = 39;
+
 	private final String id;
 
 	private final String service;
@@ -29,7 +38,13 @@
 
 	private final long born = System.currentTimeMillis();
 
-	private final ServerSocket listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+	private final long coldUntil;
+
+	private final ServerSocket listener = new ServerSocket();
+
+	private final Deque<Long> arrivals = new ArrayDeque<>();
+
+	private int mostInOneSecond;
 
 	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
@@ -43,13 +58,22 @@
 
 	private volatile boolean ended;
 
-	Instance(String id, String service, String zone, int workMillis, Store store, Record record) throws IOException {
+	/**
+	 * Starts an instance.
+	 * @param port the port, or 0 for any free one
+	 * @param coldSeconds how long the instance is cold
+	 */
+	Instance(String id, int port, String service, String zone, int workMillis, double coldSeconds, Store store,
+			Record record) throws IOException {
 		this.id = id;
 		this.service = service;
 		this.zone = zone;
 		this.store = store;
 		this.record = record;
 		this.workMillis = workMillis;
+		this.coldUntil = System.nanoTime() + (long) (coldSeconds * 1e9);
+		this.listener.setReuseAddress(true);
+		this.listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 256);
 		Threads.start(this::accept);
 		Threads.start(this::beat);
 	}
@@ -58,6 +82,36 @@
 		return this.id;
 	}
 
+	int port() {
+		return this.listener.getLocalPort();
+	}
+
+	/**
+	 * Returns the most requests that arrived within one second while the instance was
+	 * cold.
+	 * @return the number of requests
+	 */
+	synchronized int mostInOneSecond() {
+		return this.mostInOneSecond;
+	}
+
+	/**
+	 * Counts a request that arrives while the instance is cold.
+	 * @return whether the rate is so high that the instance crashes
+	 */
+	private synchronized boolean isOverrun() {
+		long now = System.nanoTime();
+		if (now - this.coldUntil >= 0) {
+			return false;
+		}
+		this.arrivals.add(now);
+		while (now - this.arrivals.peek() > 1_000_000_000L) {
+			this.arrivals.remove();
+		}
+		this.mostInOneSecond = Math.max(this.mostInOneSecond, this.arrivals.size());
+		return this.arrivals.size() > CRASH_RATE;
+	}
+
 	/**
 	 * Leaves without reporting that it drains: its entry is removed, its responses say
 	 * that it leaves, and it serves on.
@@ -99,13 +153,17 @@
 
 	private synchronized void heartbeat() {
 		if (!this.leaving) {
-			this.store.put("servers/" + this.id, String.format(
+			this.store.put("servers/" + this.id, String.format(Locale.ROOT,
 					"{\"Address\":\"127.0.0.1:%d\",\"born\":%d,\"Info\":{\"Service\":\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
-							+ "\"Slots\":8},\"Status\":{\"State\":\"ready\",\"Seq\":%d,\"ColdRemainingS\":0}}",
-					this.listener.getLocalPort(), this.born, this.service, this.zone, ++this.sequence));
+							+ "\"Slots\":8},\"Status\":{\"State\":\"ready\",\"Seq\":%d,\"ColdRemainingS\":%.3f}}",
+					this.listener.getLocalPort(), this.born, this.service, this.zone, ++this.sequence, coldSeconds()));
 		}
 	}
 
+	private double coldSeconds() {
+		return Math.max(0, (this.coldUntil - System.nanoTime()) / 1e9);
+	}
+
 	private void accept() throws IOException {
 		while (true) {
 			Socket connection = this.listener.accept();
@@ -133,15 +191,21 @@
 		}
 	}
 
-	private String respond(Message request) {
+	private String respond(Message request) throws IOException {
 		if (request.target().equals("/health")) {
-			return head(this.leaving ? 503 : 200) + "Instance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n";
+			String cold = (coldSeconds() > 0) ? "Cold-Remaining-Ms: " + (long) (coldSeconds() * 1e3) + "\r\n" : "";
+			return head(this.leaving ? 503 : 200) + cold + "Instance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n";
 		}
 		String requestId = request.header("request-id");
 		String named = request.header("target-instance");
 		if (!named.isEmpty() && !named.equals(this.id)) {
 			return head(421) + "Request-Id: " + requestId + "\r\nInstance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n";
 		}
+		if (isOverrun()) {
+			this.record.line("%s crashes: cold, and more than %d requests in one second", this.id, CRASH_RATE);
+			exit();
+			return "";
+		}
 		this.running.incrementAndGet();
 		this.ran.add(requestId);
 		this.record.line("%s runs %s %s %s", this.id, requestId, request.method(), request.target());
--- a/review/second/RestoredEntry.java
+++ b/review/second/RestoredEntry.java
@@ -52,7 +52,7 @@
 		store.put("op/config", Plan.document(7));
 		List<Instance> instances = new ArrayList<>();
 		for (int number = 1; number <= 4; number++) {
-			instances.add(new Instance("i-" + number, "desk", "zone-a", WORK_MILLIS, store, record));
+			instances.add(new Instance("i-" + number, 0, "desk", "zone-a", WORK_MILLIS, 0, store, record));
 		}
 		Gateway gateway = new Gateway("edge-1", "zone-a", Map.of("zone-a", "west", "zone-b", "north"), store.address(),
 				settings);
