--- a/review/second/Instance.java
+++ b/review/second/Instance.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -20,10 +21,23 @@
 final class Instance {
 
 	/**
-	 * The requests in one second at which a cold instance crashes, well above ColdPerS.
+	 * The requests in one second above which a cold instance crashes: three times the
+	 * ColdPerS of the plan.
 	 */
 	private static final int CRASH_RATE = 39;
 
+	private static final int SLOTS = 9;
+
+	/**
+	 * The requests that an instance runs or has queued, above which it turns them away.
+	 */
+	private static final int ROOM = 36;
+
+	/**
+	 * How much longer work takes on a cold instance.
+	 */
+	private static final int COLD_FACTOR = 2;
+
 	private final String id;
 
 	private final String service;
@@ -48,7 +62,9 @@
 
 	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-	private final AtomicInteger running = new AtomicInteger();
+	private final Semaphore slots = new Semaphore(SLOTS, true);
+
+	private final AtomicInteger present = new AtomicInteger();
 
 	private final Set<String> ran = ConcurrentHashMap.newKeySet();
 
@@ -128,7 +144,7 @@
 	 */
 	void exit() throws IOException {
 		this.ended = true;
-		this.record.line("%s exits with %d requests at work", this.id, this.running.get());
+		this.record.line("%s exits with %d requests at work", this.id, this.present.get());
 		this.listener.close();
 		for (Socket each : this.connections) {
 			each.close();
@@ -155,7 +171,7 @@
 		if (!this.leaving) {
 			this.store.put("servers/" + this.id, String.format(Locale.ROOT,
 					"{\"Address\":\"127.0.0.1:%d\",\"born\":%d,\"Info\":{\"Service\":\"%s\",\"Version\":\"v1\",\"Zone\":\"%s\","
-							+ "\"Slots\":8},\"Status\":{\"State\":\"ready\",\"Seq\":%d,\"ColdRemainingS\":%.3f}}",
+							+ "\"Slots\":9},\"Status\":{\"State\":\"ready\",\"Seq\":%d,\"ColdRemainingS\":%.3f}}",
 					this.listener.getLocalPort(), this.born, this.service, this.zone, ++this.sequence, coldSeconds()));
 		}
 	}
@@ -206,14 +222,26 @@
 			exit();
 			return "";
 		}
-		this.running.incrementAndGet();
+		String identified = "Request-Id: " + requestId + "\r\n";
+		if (this.present.incrementAndGet() > ROOM) {
+			this.present.decrementAndGet();
+			this.record.line("%s turns %s away", this.id, requestId);
+			return head(503) + identified + "Not-Executed: 1\r\n" + load() + "Content-Length: 0\r\n\r\n";
+		}
+		this.slots.acquireUninterruptibly();
 		this.ran.add(requestId);
 		this.record.line("%s runs %s %s %s", this.id, requestId, request.method(), request.target());
-		Threads.sleep(this.workMillis / 1e3);
-		this.running.decrementAndGet();
+		Threads.sleep(this.workMillis * ((coldSeconds() > 0) ? COLD_FACTOR : 1) / 1e3);
+		this.slots.release();
+		this.present.decrementAndGet();
 		String body = "made by " + this.id + " for " + requestId;
-		return head(200) + "Request-Id: " + requestId + "\r\nResponse-Signature: 3e1b.07\r\nServer-Load: " + this.running.get()
-				+ ",0,8\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+		return head(200) + identified + "Response-Signature: 3e1b.07\r\n" + load() + "Content-Length: " + body.length()
+				+ "\r\n\r\n" + body;
+	}
+
+	private String load() {
+		int count = this.present.get();
+		return "Server-Load: " + Math.min(count, SLOTS) + "," + Math.max(0, count - SLOTS) + "," + SLOTS + "\r\n";
 	}
 
 	private String head(int status) {
