--- a/review/second/Caller.java
+++ b/review/second/Caller.java
@@ -42,10 +42,6 @@
 		return Message.read(this.input).orElseThrow(() -> new EOFException("closed without a response"));
 	}
 
-	Socket socket() {
-		return this.socket;
-	}
-
 	static String request(String method, String path, String id, long timeoutMillis, String body) {
 		return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + id + "\r\nRequest-Timeout-Ms: "
 				+ timeoutMillis + "\r\nCookie: Affinity-Key=" + id.hashCode() + "\r\nAuthorization: Token k-north\r\n"
--- a/review/second/ColdStart.java
+++ b/review/second/ColdStart.java
@@ -41,8 +41,8 @@
 			exit = run(drill || trouble, drill && trouble, drill ? SLOW_SECONDS : QUICK_SECONDS, record) ? 0 : 1;
 			record.line("exit %d", exit);
 		}
-		catch (Threads.CannotRunException ex) {
-			System.err.println(ex.getMessage());
+		catch (Exception ex) {
+			System.err.println("the case could not run: " + ex);
 		}
 		System.exit(exit);
 	}
--- a/review/second/Gateway.java
+++ b/review/second/Gateway.java
@@ -62,10 +62,6 @@
 		return port("Listen.Front");
 	}
 
-	long pid() {
-		return this.process.pid();
-	}
-
 	boolean isAlive() {
 		return this.process.isAlive();
 	}
@@ -74,10 +70,6 @@
 		return Caller.get(port("Listen.Ready"), "/v1/ready").status() == 200;
 	}
 
-	Process process() {
-		return this.process;
-	}
-
 	private int port(String name) {
 		return Integer.parseInt(this.values.get(name).split(":")[1]);
 	}
--- a/review/second/RestoredEntry.java
+++ b/review/second/RestoredEntry.java
@@ -40,8 +40,8 @@
 			exit = run(trouble, record) ? 0 : 1;
 			record.line("exit %d", exit);
 		}
-		catch (Threads.CannotRunException ex) {
-			System.err.println(ex.getMessage());
+		catch (Exception ex) {
+			System.err.println("the case could not run: " + ex);
 		}
 		System.exit(exit);
 	}
@@ -125,12 +125,13 @@
 			.filter((each) -> each.sentAt() > announced + DRAIN_SECONDS && each.status() != 200)
 			.toList();
 		record.line("first answer with Server-Leaving passed on at %.3f; bound %.3f", announced, announced + DRAIN_SECONDS);
-		late.forEach((each) -> record.line("late: %s, sent %.3f s after the announcement, ran at %s", each.id(), each.sentAt() - announced,
-				departing.id()));
+		late.forEach((each) -> record.line("late: %s, sent %.3f s after the announcement, ran at %s", each.id(),
+				each.sentAt() - announced, departing.id()));
 		cut.forEach((each) -> record.line("not served: %s %d %s", each.id(), each.status(), each.text()));
 		record.line("%d requests, %d of those sent later than DrainS reached %s, %d of those were not served", sent.size(),
 				late.size(), departing.id(), cut.size());
-		System.out.printf("DRAIN: %d late requests reached %s, %d late requests were not served%n", late.size(), departing.id(), cut.size());
+		System.out.printf("DRAIN: %d late requests reached %s, %d late requests were not served%n", late.size(),
+				departing.id(), cut.size());
 		return late.isEmpty();
 	}
 
--- /dev/null
+++ b/review/second/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-ins and cases of the second review.
+ */
+package second;
